--- a/coordination/LeaseKeeper.cpp
+++ b/coordination/LeaseKeeper.cpp
@@ -12,6 +12,11 @@
 constexpr std::array<const char *, 4> MembershipNames = {
     "outside", "inside", "superseded", "released"};
 
+bool sameWitnesses(const WitnessSet &Left, const WitnessSet &Right) {
+  return std::is_permutation(Left.begin(), Left.end(), Right.begin(),
+                             Right.end());
+}
+
 } // namespace
 
 const char *nameOf(Membership State) {
@@ -151,13 +156,17 @@
 }
 
 void LeaseKeeper::checkWitnesses(TimePoint Now) {
+  this->avoidLost(Now);
+
   const WitnessSet &Current = this->Context.self()->Lease.Witnesses;
   WitnessSet Good = this->goodWitnesses(Now);
   WitnessSet Wanted = this->chooseWitnesses(Good, Now);
 
-  bool Improves =
-      Good.size() < Current.size() || Wanted.size() > Current.size();
-  if (!Improves || Wanted.empty()) {
+  // With too few candidates the old set is kept as long as it carries the
+  // lease; only then is the lease kept in the table instead.
+  bool KeepsOld = Wanted.empty() && this->Holder.holds(Now);
+  bool Improves = !sameWitnesses(Wanted, Current) && !KeepsOld;
+  if (!Improves) {
     this->ChangeDueAt.reset();
     return;
   }
@@ -183,6 +192,12 @@
   }
 }
 
+void LeaseKeeper::avoidLost(TimePoint Now) {
+  for (const InstanceId &Lost : this->Holder.lostWitnesses(Now)) {
+    this->AvoidUntil[Lost] = Now + this->Context.Times.WitnessAvoidFor;
+  }
+}
+
 WitnessSet LeaseKeeper::goodWitnesses(TimePoint Now) const {
   WitnessSet Good;
   std::vector<InstanceId> Lost = this->Holder.lostWitnesses(Now);
@@ -224,10 +239,6 @@
   const Directory::Instance *Self = this->Context.self();
   HS_FAIL_COND(!Self || Self->Lease.State != LeaseState::Live);
 
-  for (const InstanceId &Lost : this->Holder.lostWitnesses(Now)) {
-    this->AvoidUntil[Lost] = Now + this->Context.Times.WitnessAvoidFor;
-  }
-
   LeaseRow Row = this->freshRow(Now);
   Row.Life = Self->Lease.Life;
   Row.Witnesses = this->chooseWitnesses(this->goodWitnesses(Now), Now);
--- a/coordination/LeaseKeeper.h
+++ b/coordination/LeaseKeeper.h
@@ -45,6 +45,7 @@
   void join(TimePoint Now);
   void maintain(TimePoint Now);
   void checkWitnesses(TimePoint Now);
+  void avoidLost(TimePoint Now);
   void writeRow(TimePoint Now);
   void commitRow(const TableTransaction &Transaction, TimePoint Now,
                  bool Push = false);
--- a/coordination/Mover.cpp
+++ b/coordination/Mover.cpp
@@ -18,6 +18,8 @@
 
 bool Mover::requestMove(const SlotsByKeyspace &Slots,
                         const InstanceId &Receiver, TimePoint Now) {
+  HS_FAIL_COND_V(Receiver == this->Context.Identity.Instance, false);
+
   bool CanStart =
       this->idle() && this->Keeper.holds(Now) && this->Context.Table.healthy();
   if (!CanStart) {
--- /dev/null
+++ b/stand_ins/FaultProxy.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "net/Address.h"
+#include "net/HttpServer.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace hemlockspar {
+
+/// What the proxy does to connections from one IP address to another. Bytes
+/// from the one that opened the connection go out, those to it come back.
+struct LinkFaults {
+  /// Bytes are swallowed, connections stay open.
+  bool CutOut = false;
+  bool CutBack = false;
+
+  /// New connections are refused and open ones reset.
+  bool Reset = false;
+  std::uint64_t DelayMs = 0;
+};
+
+/// A TCP proxy that delays, swallows or resets what passes, by the IP address
+/// it comes from and the one it goes to. Faults are set over HTTP while it
+/// runs: PUT /links {"from", "to", "cut_out", "cut_back", "reset",
+/// "delay_ms"}; an empty from or to stands for all.
+class FaultProxy {
+public:
+  explicit FaultProxy(boost::asio::io_context &Io);
+
+  /// Forwards connections made to \p Listen to \p Target.
+  absl::Status forward(const Address &Listen, const Address &Target);
+
+  absl::Status listenForFaults(const Address &At);
+
+private:
+  using Socket = boost::asio::ip::tcp::socket;
+  struct Pipe;
+
+  void acceptLoop(boost::asio::ip::tcp::acceptor &Acceptor,
+                  const Address &Target,
+                  const boost::asio::yield_context &Yield);
+  void open(const std::shared_ptr<Pipe> &Through,
+            const boost::asio::yield_context &Yield);
+  void copy(const std::shared_ptr<Pipe> &Through, bool Out,
+            const boost::asio::yield_context &Yield);
+  LinkFaults faultsFor(const std::string &From, const std::string &To) const;
+  HttpResponse setFaults(const HttpRequest &Request);
+  void resetCutLinks();
+
+  boost::asio::io_context &Io;
+  HttpServer Control;
+  std::list<boost::asio::ip::tcp::acceptor> Acceptors;
+  std::map<std::pair<std::string, std::string>, LinkFaults> Links;
+  std::set<std::shared_ptr<Pipe>> Open;
+};
+
+} // namespace hemlockspar
--- /dev/null
+++ b/tools/mutants.sh
@@ -0,0 +1,64 @@
+#!/bin/bash
+# Shows that the property tests can fail: breaks one rule of the protocol at a
+# time in a copy of the tree and expects the tests to turn red.
+#   mutants.sh [NAME ...]     all mutants, or those named
+# MUTANT_RUNS sets the number of random runs of each property (default 150).
+set -uo pipefail
+
+Root=$(cd "$(dirname "$0")/.." && pwd)
+Runs=${MUTANT_RUNS:-150}
+Work=$(mktemp -d)
+trap 'rm -rf "$Work"' EXIT
+
+# name | file | test program | perl substitution
+Mutants='
+previous-witnesses-not-asked|coordination/Recovery.cpp|member_property_test|s/bool PreviousVoted =\s+!HasPrevious/bool PreviousVoted = true || !HasPrevious/
+vote-does-not-bind|coordination/Witness.cpp|member_property_test|s/Record.VotedExpired = Record.VotedExpired \|\| Expired;\s+return Record.VotedExpired;/return Expired;/
+minority-renews|coordination/LeaseHolder.cpp|member_property_test|s/std::size_t Majority = majorityOf\(Lease.Witnesses.size\(\)\);/std::size_t Majority = 1;/
+lease-outlives-witness|coordination/Timing.h|member_property_test|s/1\.0 - this->DriftAllowance/1.0 + 4 * this->DriftAllowance/
+takeover-unconditional|coordination/Transfers.cpp|member_property_test|s/writeAt\(Transaction, leaseKey\(Lost\), Holder->LeaseVersion, Ended.toText\(\)\);/Transaction.Writes.push_back({leaseKey(Lost), Ended.toText()});/; s/writeAt\(Transaction, holdingKey\(Lost\), Holder->HoldingVersion,\s+Emptied.toText\(\)\);/Transaction.Writes.push_back({holdingKey(Lost), Emptied.toText()});/
+leftover-kept-on-write|coordination/LeaseHolder.cpp|member_property_test|s/void LeaseHolder::rowWriteSent\(\) \{ this->Previous.reset\(\); \}/void LeaseHolder::rowWriteSent() {}/
+any-process-acknowledges|coordination/LeaseHolder.cpp|member_property_test|s/if \(this->Current->Witnesses\[Index\] !=\s+WitnessRef\{Witness, Reply.Incarnation\}\)/if (this->Current->Witnesses[Index].Instance != Witness)/
+restarted-witness-votes-at-once|coordination/Witness.cpp|member_property_test|s/Record.RenewedAt.value_or\(this->StartedAt\)/Record.RenewedAt.value_or(TimePoint())/
+unknown-handover-thawed|coordination/Mover.cpp|member_property_test|s/this->Phase = MovePhase::Unresolved;\s+this->UnresolvedSince = Now;/this->finish(PlacementEvent::HandoverFailed, "");/
+unknown-handover-not-settled|coordination/Mover.cpp|member_property_test|s/if \(RowChanged \|\| this->Handover == 0\)/if (RowChanged || this->Handover != 0)/
+token-not-raised|coordination/Transfers.cpp|member_property_test|s/Receiver.Slots\[Keyspace\].add\(\{Grant.Slot, Grant.Token \+ 1\}\);/Receiver.Slots[Keyspace].add({Grant.Slot, Grant.Token - 1});/
+takeover-keeps-life|coordination/Transfers.cpp|member_property_test|s/Ended.Life \+= 1;//
+quiet-table-lease-not-awaited|coordination/Recovery.cpp|member_property_test|s/return VersionVoted && PreviousVoted && \(QuietRow \|\| !NeedsQuietRow\);/return VersionVoted && PreviousVoted;/
+no-campaigns|coordination/Recovery.cpp|member_property_test|s/if \(Now < Attempt.StartAt \|\| Attempt.CommitOutstanding\)/if (true)/
+'
+
+git -C "$Root" ls-files -co --exclude-standard |
+  tar -C "$Root" -cf - -T - | (mkdir "$Work/tree" && tar -C "$Work/tree" -xf -)
+cmake -S "$Work/tree" -B "$Work/build" -G Ninja >/dev/null
+
+Survived=0
+while IFS='|' read -r Name File Program Change; do
+  [ -n "$Name" ] || continue
+  if [ $# -gt 0 ] && [[ " $* " != *" $Name "* ]]; then
+    continue
+  fi
+
+  cp "$Root/$File" "$Work/tree/$File"
+  perl -0pi -e "$Change" "$Work/tree/$File"
+  if cmp -s "$Root/$File" "$Work/tree/$File"; then
+    echo "$Name: the change no longer fits $File"
+    Survived=1
+    continue
+  fi
+
+  if ! ninja -C "$Work/build" "$Program" >"$Work/log" 2>&1; then
+    echo "$Name: does not build"
+    tail -5 "$Work/log"
+    Survived=1
+  elif RC_PARAMS="seed=20261204 max_success=$Runs noshrink=1" \
+    "$Work/build/tests/$Program" --timeout 600 >"$Work/log" 2>&1; then
+    echo "$Name: SURVIVED"
+    Survived=1
+  else
+    echo "$Name: caught: $(grep -m1 -E 'has two serving|fell|RC_FAIL|RC_ASSERT' "$Work/log")"
+  fi
+  cp "$Root/$File" "$Work/tree/$File"
+done <<<"$Mutants"
+
+exit $Survived
