--- a/tests/coordination/MemberWorld.cpp
+++ b/tests/coordination/MemberWorld.cpp
@@ -51,7 +51,7 @@
       Way = this->World.span(seconds(2), seconds(12));
     }
 
-    bool InTime = !Late && !Lost && Way * 2 <= TableTimeout;
+    bool InTime = !Late && !Lost && !this->deaf() && Way * 2 <= TableTimeout;
     this->World.after(Way, [this, Work, Answer, InTime, Way] {
       CommitResult Result = this->World.Table.commit(Work);
       if (InTime) {
@@ -65,7 +65,7 @@
 
   void readTable(RowVersion Since) override {
     Duration Way = this->World.tableDelay();
-    bool Down = this->World.Now < this->World.TableDownUntil;
+    bool Down = this->World.Now < this->World.TableDownUntil || this->deaf();
     std::uint64_t Life = this->Generation;
 
     this->World.after(Down ? TableTimeout : Way, [this, Since, Life, Down,
@@ -122,7 +122,7 @@
     this->World.send(this->Index, To, [=, this](Member &Other, TimePoint) {
       RowBatch Batch = Other.cache().changesSince(Since);
       this->World.send(To, this->Index, [=, this](Member &Self, TimePoint At) {
-        if (this->Generation == Life && !*Answered) {
+        if (this->Generation == Life && !*Answered && !this->deaf()) {
           *Answered = true;
           Self.onPeerRows(Batch, At);
         }
@@ -141,7 +141,7 @@
 
   void pushRows(const RowBatch &Batch) override {
     for (int To = 0; To < this->World.MemberCount; ++To) {
-      if (To != this->Index) {
+      if (To != this->Index && !this->World.Nodes[To]->deaf()) {
         this->World.send(this->Index, To, [=](Member &Peer, TimePoint At) {
           Peer.onPeerPush(Batch, At);
         });
@@ -174,6 +174,8 @@
 
   void decided(const PlacementDecision &) override {}
 
+  bool deaf() const { return this->World.Now < this->DeafUntil; }
+
   bool dispatches(SlotIndex Slot) const {
     return this->Self && !this->Frozen.contains(Slot) &&
            this->Self->owns(Keyspace, Slot, this->World.localTime(this->Index));
@@ -198,7 +200,7 @@
   std::uint64_t Generation = 0;
   double Rate = 1;
   Duration PausedUntil{};
-  Duration DeadUntil{};
+  Duration DeafUntil{};
   std::unique_ptr<Member> Self;
   std::map<SlotIndex, std::uint64_t> Frozen;
 };
@@ -308,7 +310,6 @@
   case FaultKind::Kill:
     Hit.Self.reset();
     ++Hit.Generation;
-    Hit.DeadUntil = Until;
     this->after(Planned.Lasting, [=, this] {
       if (!this->Nodes[Who]->Self) {
         this->startNode(Who);
@@ -357,6 +358,9 @@
       });
     }
     return;
+  case FaultKind::HearNoRows:
+    Hit.DeafUntil = Until;
+    return;
   case FaultKind::MoveSlots:
     if (Hit.Self && Whom != Who) {
       LoadStatus Empty;
@@ -380,6 +384,7 @@
   for (int Index = 0; Index < this->MemberCount; ++Index) {
     Node &Healed = *this->Nodes[Index];
     Healed.PausedUntil = this->Now;
+    Healed.DeafUntil = this->Now;
     if (!Healed.Self) {
       this->startNode(Index);
     }
--- a/tests/coordination/MemberWorld.h
+++ b/tests/coordination/MemberWorld.h
@@ -23,9 +23,13 @@
   LoseMessages,
   Drain,
   MoveSlots,
+
+  /// What the member writes takes effect, but it hears of no row: neither
+  /// answers of the table nor rows of peers reach it.
+  HearNoRows,
 };
 
-inline constexpr int FaultKindCount = 11;
+inline constexpr int FaultKindCount = 12;
 
 /// One fault: what, whom, when and for how long.
 struct Fault {
--- /dev/null
+++ b/tests/integration/RequestTest.cpp
@@ -0,0 +1,197 @@
+#include "tests/integration/Mesh.h"
+
+#include "core/Json.h"
+#include "daemon/RequestHeaders.h"
+#include "net/Address.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+#include <csignal>
+
+using namespace hemlockspar;
+
+namespace {
+
+std::string outcomeOf(const ExchangeResult &Exchange) {
+  return headerOf(Exchange.Response, headers::Outcome);
+}
+
+std::string reasonOf(const ExchangeResult &Exchange) {
+  return headerOf(Exchange.Response, headers::Reason);
+}
+
+/// Sends raw bytes and returns what comes back until the server closes.
+std::string sendRaw(const Address &To, const std::string &Bytes) {
+  boost::asio::io_context Io;
+  boost::asio::ip::tcp::socket Socket(Io);
+  boost::system::error_code Error;
+  Socket.connect(To.toEndpoint(Error), Error);
+  boost::asio::write(Socket, boost::asio::buffer(Bytes), Error);
+  Socket.shutdown(boost::asio::socket_base::shutdown_send, Error);
+
+  std::string Answer;
+  boost::asio::read(Socket, boost::asio::dynamic_buffer(Answer), Error);
+  return Answer;
+}
+
+std::size_t runsOf(const Mesh &Cluster, const std::string &IdempotencyKey) {
+  std::size_t Count = 0;
+  for (const Json::Value &Run : Cluster.runs()) {
+    Count += Run["idempotency_key"].asString() == IdempotencyKey;
+  }
+  return Count;
+}
+
+} // namespace
+
+/// Answered, not run and unknown can be told apart, and each answer names its
+/// request and owner.
+Test(Request, OutcomesAndHeaders) {
+  Mesh Cluster(30, {});
+  cr_assert(Cluster.start());
+
+  for (int Index = 0; Index < 6; ++Index) {
+    ExchangeResult Served = Cluster.send(Index, http::verb::get, "k7",
+                                         {{headers::RequestId, "r-7"}});
+    cr_assert_eq(Served.Response.result_int(), 200);
+    cr_assert(outcomeOf(Served) == "answered");
+    cr_assert(headerOf(Served.Response, headers::RequestId) == "r-7");
+    int Owner = Cluster.ownerOf("k7", Index);
+    cr_assert(headerOf(Served.Response, headers::Owner) ==
+              Cluster.callers(Owner).toText());
+  }
+
+  BlockingClient Client;
+  ExchangeResult NoSuch =
+      Client.get(Cluster.callers(0), "/nothing/k1", std::chrono::seconds(5));
+  cr_assert_eq(NoSuch.Response.result_int(), 404);
+  cr_assert(outcomeOf(NoSuch) == "not-run");
+  cr_assert(reasonOf(NoSuch) == "unknown-keyspace");
+
+  ExchangeResult Late =
+      Cluster.send(0, http::verb::get, "k7",
+                   {{headers::TimeoutMs, "50"}, {"Work-Us", "400000"}});
+  cr_assert(outcomeOf(Late) == "unknown");
+}
+
+/// A write asked again with its idempotency key gets the first answer; one
+/// whose first attempt was before the owner's time is unknown, not run again.
+Test(Request, Idempotency) {
+  Mesh Cluster(31, {});
+  cr_assert(Cluster.start());
+  std::map<std::string, std::string> Headers = {
+      {headers::IdempotencyKey, "deposit-1"}};
+
+  ExchangeResult First =
+      Cluster.send(0, http::verb::post, "k3", Headers, "deposit");
+  ExchangeResult Again =
+      Cluster.send(4, http::verb::post, "k3", Headers, "deposit");
+  cr_assert_eq(First.Response.result_int(), 200);
+  cr_assert(First.Response.body() == Again.Response.body());
+  cr_assert_eq(runsOf(Cluster, "deposit-1"), 1);
+
+  ExchangeResult Other =
+      Cluster.send(1, http::verb::post, "k3", Headers, "another");
+  cr_assert_eq(Other.Response.result_int(), 422);
+
+  int Owner = Cluster.ownerOf("k3", 0);
+  int Asked = (Owner + 1) % 6;
+  Cluster.kill(Cluster.instances()[Owner].Name, SIGKILL);
+  Cluster.kill(Cluster.instances()[Owner].Name + ".backend", SIGKILL);
+  cr_assert(Cluster.waitUntil([&] {
+    int Now = Cluster.ownerOf("k3", Asked);
+    return Now >= 0 && Now != Owner;
+  }));
+
+  Headers[headers::AttemptAgeMs] = "60000";
+  ExchangeResult Repeat =
+      Cluster.send(Asked, http::verb::post, "k3", Headers, "deposit");
+  cr_assert(outcomeOf(Repeat) == "unknown");
+  cr_assert(reasonOf(Repeat) == "earlier-attempt");
+  cr_assert_eq(runsOf(Cluster, "deposit-1"), 1);
+}
+
+/// Bad input of every kind gets an error or a closed connection; the daemons
+/// go on.
+Test(Request, BadInput) {
+  Mesh Cluster(32, {});
+  cr_assert(Cluster.start());
+  Address Callers = Cluster.callers(0);
+  Address Api = Cluster.api(0);
+  Address Control{Callers.Host, 8082};
+
+  std::string Garbage(300, '\xff');
+  std::string LongHeader =
+      "GET /menus/k1 HTTP/1.1\r\nHost: a\r\nX: " + std::string(100000, 'a') +
+      "\r\n\r\n";
+  std::string LongBody =
+      "POST /menus/k1 HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n";
+
+  cr_assert(sendRaw(Callers, "NOT HTTP\r\n\r\n").starts_with("HTTP/1.1 400"));
+  cr_assert(sendRaw(Callers, LongHeader).starts_with("HTTP/1.1 431"));
+  cr_assert(sendRaw(Callers, LongBody).starts_with("HTTP/1.1 413"));
+  cr_assert(sendRaw(Callers, "GET /menus HTTP/1.1\r\nHost: a\r\n"
+                             "Connection: close\r\n\r\n")
+                .starts_with("HTTP/1.1 400"));
+  cr_assert(sendRaw(Callers, "GET /menus/%zz HTTP/1.1\r\nHost: a\r\n"
+                             "Connection: close\r\n\r\n")
+                .starts_with("HTTP/1.1 400"));
+  sendRaw(Callers, "GET /menus/k1 HTTP/1.1\r\nHo");
+
+  for (
+      const std::string &Line :
+      {Garbage, std::string("{}"), std::string("[1,2]"),
+       std::string(R"({"jsonrpc":"2.0","id":1,"method":"none"})"),
+       std::string(R"({"jsonrpc":"2.0","id":1,"method":"renew","params":[]})"),
+       std::string(
+           R"({"jsonrpc":"2.0","id":1,"method":"renew","params":{"h":7}})"),
+       std::string(
+           R"({"jsonrpc":"2.0","id":1,"method":"push","params":{"rows":1}})")}) {
+    std::string Answer = sendRaw(Control, Line + "\n");
+    cr_assert(Answer.find("error") != std::string::npos, "%s", Line.c_str());
+  }
+
+  Json::Value Wrong;
+  Wrong["spec"]["slots"] = 0;
+  Wrong["spec"]["colour"] = "red";
+  cr_assert_eq(
+      Cluster.put(Api, "/v1/keyspaces/x", Wrong, {{"If-None-Match", "*"}}),
+      422);
+  cr_assert_eq(Cluster.put(Api, "/v1/policies/menus", Wrong), 422);
+  cr_assert(sendRaw(Api, "PUT /v1/policies/menus HTTP/1.1\r\nHost: a\r\n"
+                         "Connection: close\r\nContent-Length: 5\r\n\r\n{bad}")
+                .starts_with("HTTP/1.1 400"));
+
+  ExchangeResult Forged =
+      Cluster.send(0, http::verb::get, "k1",
+                   {{headers::Token, "999999"}, {headers::TimeoutMs, "x"}});
+  cr_assert_eq(Forged.Response.result_int(), 400);
+
+  for (int Index = 0; Index < 6; ++Index) {
+    cr_assert(Cluster.running(Cluster.instances()[Index].Name));
+    ExchangeResult Served = Cluster.send(Index, http::verb::get, "k1");
+    cr_assert_eq(Served.Response.result_int(), 200);
+  }
+}
+
+/// The caller hangs up: the run at the backend server is cancelled.
+Test(Request, CallerGoes) {
+  Mesh Cluster(33, {});
+  cr_assert(Cluster.start());
+
+  BlockingClient Client;
+  HttpRequest Request(http::verb::get, "/menus/k1", 11);
+  Request.set("Work-Us", "5000000");
+  Client.exchange(Cluster.callers(0), Request, std::chrono::milliseconds(300));
+
+  cr_assert(Cluster.waitUntil([&] {
+    for (const Json::Value &Run : Cluster.runs()) {
+      if (Run["result"].asString() == "cancelled") {
+        return true;
+      }
+    }
+    return false;
+  }));
+}
