--- /dev/null
+++ b/tests/coordination/BalancerTest.cpp
@@ -0,0 +1,61 @@
+#include "coordination/Balancer.h"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockspar;
+
+namespace {
+
+OwnLoad loaded(double Utilization) {
+  OwnLoad Own;
+  Own.Status = {Utilization, 10, 6, true};
+  Own.Busiest = {{"menus", 0, 0.5}, {"menus", 1, 0.15}, {"menus", 2, 0.1}};
+  return Own;
+}
+
+SlotsByKeyspace tenSlots() {
+  SlotsByKeyspace Owned;
+  Owned["menus"].addRange(0, 10, 1);
+  return Owned;
+}
+
+} // namespace
+
+/// The hot slot itself stays; its neighbours are moved away from it.
+Test(Balancer, MovesNeighboursOfTheHotSlot) {
+  Balancer Balance(PlacementPreference::Peak);
+  SlotsByKeyspace Chosen =
+      Balance.choose(loaded(0.9), tenSlots(), {0.3, 10, 6, true}, TimePoint());
+
+  cr_assert_not(Chosen["menus"].find(0).has_value());
+  cr_assert(Chosen["menus"].find(1).has_value());
+  cr_assert(Chosen["menus"].find(2).has_value());
+}
+
+Test(Balancer, FewMovesToleratesMore) {
+  LoadStatus Peer{0.6, 10, 6, true};
+  Balancer Patient(PlacementPreference::FewMoves);
+  Balancer Eager(PlacementPreference::Peak);
+  cr_assert(
+      Patient.choose(loaded(0.85), tenSlots(), Peer, TimePoint()).empty());
+  cr_assert_not(
+      Eager.choose(loaded(0.85), tenSlots(), Peer, TimePoint()).empty());
+}
+
+Test(Balancer, KeepsToItsBudget) {
+  Balancer Balance(PlacementPreference::FewMoves);
+  LoadStatus Idle{0.0, 10, 6, true};
+  int Moves = 0;
+  for (int Second = 0; Second < 60; ++Second) {
+    TimePoint Now(std::chrono::seconds(1000 + Second));
+    Moves += !Balance.choose(loaded(0.9), tenSlots(), Idle, Now).empty();
+  }
+  cr_assert_eq(Moves, 2);
+}
+
+Test(Balancer, NothingForAPeerThatLeaves) {
+  Balancer Balance(PlacementPreference::Peak);
+  cr_assert(
+      Balance.choose(loaded(0.9), tenSlots(), {0.0, 0, 6, false}, TimePoint())
+          .empty());
+}
--- /dev/null
+++ b/tests/coordination/SlotsTest.cpp
@@ -0,0 +1,77 @@
+#include "coordination/Slots.h"
+#include "coordination/SlotGate.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace hemlockspar;
+
+/// What is written as runs reads back the same.
+Test(Slots, JsonRoundTrip) {
+  bool Holds = rc::check("runs round trip", [] {
+    auto Pairs = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 500), rc::gen::inRange(1, 4)));
+
+    SlotGrants Grants;
+    for (const auto &[Slot, Token] : Pairs) {
+      Grants.add({SlotIndex(Slot), FencingToken(Token)});
+    }
+    auto Read = SlotGrants::fromJson(Grants.toJson());
+    RC_ASSERT(Read.has_value());
+    RC_ASSERT(*Read == Grants);
+  });
+  cr_assert(Holds);
+}
+
+Test(Slots, RefusesMalformedRuns) {
+  Json::Value Bad(Json::arrayValue);
+  Bad.append("run");
+  cr_assert_not(SlotGrants::fromJson(Bad).has_value());
+  cr_assert_not(SlotGrants::fromJson(Json::Value("x")).has_value());
+
+  Json::Value Huge(Json::arrayValue);
+  Json::Value Run(Json::arrayValue);
+  Run.append(0);
+  Run.append(4000000000U);
+  Run.append(1);
+  Huge.append(Run);
+  cr_assert_not(SlotGrants::fromJson(Huge).has_value());
+}
+
+Test(Slots, TokenNeverFalls) {
+  SlotGrants Grants;
+  Grants.add({3, 9});
+  Grants.add({3, 4});
+  cr_assert_eq(*Grants.find(3), 9);
+}
+
+Test(SlotGate, FreezesIdleSlotsOnly) {
+  SlotGate Gate;
+  SlotsByKeyspace Both;
+  Both["menus"].addRange(0, 2, 1);
+  cr_assert(Gate.enter("menus", 0));
+
+  Gate.freeze(1, Both, false);
+  auto Frozen = Gate.takeFrozen();
+  cr_assert_eq(Frozen.size(), 1);
+  cr_assert_eq(countSlots(Frozen[0].Slots), 1);
+  cr_assert(Gate.enter("menus", 0));
+  cr_assert_not(Gate.enter("menus", 1));
+
+  Gate.thaw(1);
+  cr_assert(Gate.enter("menus", 1));
+}
+
+Test(SlotGate, WaitsForBusySlots) {
+  SlotGate Gate;
+  SlotsByKeyspace One;
+  One["menus"].addRange(0, 1, 1);
+  cr_assert(Gate.enter("menus", 0));
+
+  Gate.freeze(1, One, true);
+  cr_assert(Gate.takeFrozen().empty());
+  cr_assert_not(Gate.enter("menus", 0));
+  Gate.leave("menus", 0);
+  cr_assert_eq(Gate.takeFrozen().size(), 1);
+  cr_assert(Gate.takeFrozen().empty());
+}
--- /dev/null
+++ b/tests/net/RpcCodecTest.cpp
@@ -0,0 +1,52 @@
+#include "net/RpcCodec.h"
+#include "core/Json.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace hemlockspar;
+
+namespace {
+
+RpcDispatcher &echo() {
+  static RpcDispatcher Dispatcher;
+  static bool Bound = false;
+  if (!Bound) {
+    Dispatcher.bind("echo", [](const Json::Value &Params, Json::Value &Result) {
+      Result = Params;
+      return Params.isMember("fail") ? std::string("told to fail")
+                                     : std::string();
+    });
+    Bound = true;
+  }
+  return Dispatcher;
+}
+
+} // namespace
+
+Test(RpcCodec, CallAndAnswer) {
+  Json::Value Params;
+  Params["a"] = 5;
+  std::string Call = RpcClientCodec::encodeCall("echo", Params);
+  RpcAnswer Answer = RpcClientCodec::decodeAnswer(echo().dispatch(Call));
+  cr_assert(Answer.Succeeded);
+  cr_assert_eq(Answer.Result["a"].asInt(), 5);
+
+  Params["fail"] = true;
+  Call = RpcClientCodec::encodeCall("echo", Params);
+  Answer = RpcClientCodec::decodeAnswer(echo().dispatch(Call));
+  cr_assert_not(Answer.Succeeded);
+  cr_assert(Answer.Error.find("told to fail") != std::string::npos);
+}
+
+/// Whatever bytes come, there is one answer on one line and no crash.
+Test(RpcCodec, AnyBytes) {
+  bool Holds = rc::check("any bytes are answered", [] {
+    auto Bytes = *rc::gen::arbitrary<std::string>();
+    std::string Answer = echo().dispatch(Bytes);
+    RC_ASSERT(Answer.find('\n') == std::string::npos);
+    RC_ASSERT(!RpcClientCodec::decodeAnswer(Answer).Succeeded);
+    RC_ASSERT(!RpcClientCodec::decodeAnswer(Bytes).Succeeded);
+  });
+  cr_assert(Holds);
+}
