coordination: witnesses of the previous version no longer campaign

Cause: a witness named only by the previous version of a lease row hears no renewals, since the holder renews with the current set; it took that silence for a loss and asked for votes every 100 ms for ever (136 vote calls/s seen at one daemon of a quiet mesh of 18). Ruled out: pushes and reads of rows (none in a trace of 3 s), load samples (8 in 3 s). A takeover still needs the votes of both sets.

--- a/coordination/Member.h
+++ b/coordination/Member.h
@@ -93,6 +93,7 @@
   bool tableReadSince(TimePoint Moment) const {
     return this->Context.Table.hasReadSince(Moment);
   }
+  std::size_t campaignCount() const { return this->Rescue.campaignCount(); }
   std::size_t witnessedCount() const { return this->Votes.witnessedCount(); }
 
   /// Rises with every row that changed.
--- a/coordination/Witness.cpp
+++ b/coordination/Witness.cpp
@@ -19,8 +19,7 @@
   Record.Row = Row;
   Record.Version = Version;
   Record.NamesSelf =
-      Row.State == LeaseState::Live &&
-      (this->names(Row.Witnesses) || this->names(Row.PreviousWitnesses));
+      Row.State == LeaseState::Live && this->names(Row.Witnesses);
   Record.LastSign = std::max(Record.LastSign, Now);
 
   // Older versions are refused by mayRenew, so their votes need not be kept.
--- a/coordination/Witness.h
+++ b/coordination/Witness.h
@@ -50,7 +50,8 @@
     LeaseRow Row;
     RowVersion Version = 0;
 
-    /// Whether that row names this instance.
+    /// Whether that row names this instance. Witnesses of the previous
+    /// version only are not renewed with, so their silence means nothing.
     bool NamesSelf = false;
 
     /// The latest of: a renewal noted, the row seen, this process started.
--- a/tests/coordination/MemberPropertyTest.cpp
+++ b/tests/coordination/MemberPropertyTest.cpp
@@ -145,3 +145,16 @@
   });
   cr_assert(Holds);
 }
+
+/// When nothing is wrong, nobody campaigns against anybody.
+Test(Member, NoCampaignsWhenQuiet) {
+  bool Holds = rc::check("no campaigns when quiet", [] {
+    auto Seed = *rc::gen::arbitrary<std::uint32_t>();
+    auto Members = *rc::gen::inRange(4, MemberWorld::MostMembers + 1);
+
+    MemberWorld World(Seed, Members);
+    World.run(seconds(20));
+    RC_ASSERT(World.campaigns() == 0U);
+  });
+  cr_assert(Holds);
+}
--- a/tests/coordination/MemberWorld.cpp
+++ b/tests/coordination/MemberWorld.cpp
@@ -442,6 +442,14 @@
   return Unserved;
 }
 
+std::size_t MemberWorld::campaigns() const {
+  std::size_t Count = 0;
+  for (const auto &Counted : this->Nodes) {
+    Count += Counted->Self ? Counted->Self->campaignCount() : 0;
+  }
+  return Count;
+}
+
 std::string MemberWorld::describe() const {
   std::ostringstream Text;
 
--- a/tests/coordination/MemberWorld.h
+++ b/tests/coordination/MemberWorld.h
@@ -64,6 +64,9 @@
   /// Slots that no member would dispatch for now.
   std::size_t unservedSlots() const;
 
+  /// Attempts to take over, of all members.
+  std::size_t campaigns() const;
+
   /// The state of every member, for the report of a failure.
   std::string describe() const;
 
