coordination: a campaign ends when its holder shows itself again

Cause: a campaign against a holder that had been silent for a moment went on as long as the holder's row kept its version, asking for votes every 100 ms; and a renewal refused because of a vote did not count as a sign of life. Ruled out: lost messages (the holder renewed with all five witnesses).

--- a/coordination/Recovery.cpp
+++ b/coordination/Recovery.cpp
@@ -33,7 +33,10 @@
     : Context(Context), Votes(Votes), Keeper(Keeper) {}
 
 void Recovery::tick(TimePoint Now) {
-  for (const InstanceId &Holder : this->suspects(Now)) {
+  std::vector<InstanceId> Suspects = this->suspects(Now);
+  this->dropEnded(Suspects);
+
+  for (const InstanceId &Holder : Suspects) {
     if (this->Campaigns.contains(Holder)) {
       continue;
     }
@@ -46,8 +49,6 @@
         {PlacementEvent::CampaignStarted, Holder, 0, "renewals ceased"});
   }
 
-  this->dropEnded();
-
   for (auto &[Holder, Attempt] : this->Campaigns) {
     this->advance(Holder, Attempt, Now);
   }
@@ -82,13 +83,18 @@
   return Suspects;
 }
 
-void Recovery::dropEnded() {
-  std::erase_if(this->Campaigns, [this](const auto &Entry) {
+void Recovery::dropEnded(const std::vector<InstanceId> &Suspects) {
+  std::erase_if(this->Campaigns, [&](const auto &Entry) {
     const auto &[Holder, Attempt] = Entry;
     const Directory::Instance *Known = this->Context.Known.find(Holder);
     bool Current = Known && Known->Lease.State == LeaseState::Live &&
                    Known->LeaseVersion == Attempt.Version;
-    return !Current && !Attempt.CommitOutstanding;
+
+    // Once the votes suffice the holder cannot renew this version any more,
+    // so the takeover is carried through even when it shows itself again.
+    bool Silent = Attempt.WonAt || std::find(Suspects.begin(), Suspects.end(),
+                                             Holder) != Suspects.end();
+    return !(Current && Silent) && !Attempt.CommitOutstanding;
   });
 }
 
--- a/coordination/Recovery.h
+++ b/coordination/Recovery.h
@@ -44,7 +44,7 @@
   };
 
   std::vector<InstanceId> suspects(TimePoint Now) const;
-  void dropEnded();
+  void dropEnded(const std::vector<InstanceId> &Suspects);
   void advance(const InstanceId &Holder, Campaign &Attempt, TimePoint Now);
   void askForVotes(const InstanceId &Holder, Campaign &Attempt, TimePoint Now);
   void countVote(Campaign &Attempt, const Directory::Instance &Holder,
--- a/coordination/Witness.cpp
+++ b/coordination/Witness.cpp
@@ -49,13 +49,14 @@
     return false;
   }
 
+  Holder.LastSign = std::max(Holder.LastSign, Now);
+
   VersionRecord &Record = Holder.Versions[Request.Version];
   if (Record.VotedExpired) {
     return false;
   }
 
   Record.RenewedAt = Now;
-  Holder.LastSign = std::max(Holder.LastSign, Now);
   return true;
 }
 
--- a/tests/coordination/MemberPropertyTest.cpp
+++ b/tests/coordination/MemberPropertyTest.cpp
@@ -154,7 +154,9 @@
 
     MemberWorld World(Seed, Members);
     World.run(seconds(20));
-    RC_ASSERT(World.campaigns() == 0U);
+    if (World.campaigns() != 0U) {
+      RC_FAIL(World.describe());
+    }
   });
   cr_assert(Holds);
 }
--- a/tests/coordination/MemberWorld.cpp
+++ b/tests/coordination/MemberWorld.cpp
@@ -475,7 +475,7 @@
          << " ms, frozen " << Shown->Frozen.size() << ", table "
          << Self.tableHealthy() << ", complete "
          << Self.cache().completeVersion() << " of " << this->Table.version()
-         << "\n";
+         << ", campaigns " << Self.campaignCount() << "\n";
   }
 
   for (const TableRow &Row : this->Table.changesSince(0).Rows) {
