--- /dev/null
+++ b/bench/plot.sh
@@ -0,0 +1,52 @@
+#!/bin/bash
+# Draws bench/results/*.json as PNG files with gnuplot.
+set -euo pipefail
+
+cd "$(dirname "$0")/results"
+
+python3 - <<'PY'
+import json
+import pathlib
+
+
+def write(name, rows):
+    pathlib.Path(name).write_text(
+        "\n".join(" ".join(str(cell) for cell in row) for row in rows) + "\n")
+
+
+if pathlib.Path("scale.json").exists():
+    scale = json.load(open("scale.json"))
+    write("scale.dat", [(row["daemons"], row["cpu_percent"],
+                         row["control_kb_per_second"], row["resident_mb"])
+                        for row in scale["sizes"]])
+if pathlib.Path("queue.json").exists():
+    queue = json.load(open("queue.json"))
+    write("queue.dat", [(f'{row["order"]}-{row["slots"]}',
+                         row["surge_short_ms"]["p99"], row["long_ms"]["p99"])
+                        for row in queue["runs"]])
+PY
+
+if [ -f scale.dat ]; then
+  gnuplot <<'GP'
+set terminal png size 800,500
+set output "scale.png"
+set xlabel "daemons"
+set key left
+plot "scale.dat" using 1:2 with linespoints title "processor, % of a core", \
+     "scale.dat" using 1:3 with linespoints title "control, KB/s", \
+     "scale.dat" using 1:4 with linespoints title "memory, MB"
+GP
+fi
+
+if [ -f queue.dat ]; then
+  gnuplot <<'GP'
+set terminal png size 800,500
+set output "queue.png"
+set logscale y
+set ylabel "p99 in the surge, ms"
+set style data histogram
+set style fill solid
+plot "queue.dat" using 2:xtic(1) title "short", "" using 3 title "long"
+GP
+fi
+rm -f scale.dat queue.dat
--- a/coordination/QueueDiscipline.cpp
+++ b/coordination/QueueDiscipline.cpp
@@ -13,8 +13,9 @@
 /// Time over which the demand of short requests is smoothed.
 constexpr double DemandWindowSeconds = 1.0;
 
-/// Slots kept for short requests, for each slot that they keep busy.
-constexpr double ShortHeadroom = 1.3;
+/// Slots kept for short requests beyond those that they keep busy, times the
+/// square root of the latter: arrivals at random moments vary by that much.
+constexpr double ShortHeadroom = 0.25;
 
 /// Long requests may always use this part of the slots.
 constexpr std::uint32_t LongMinimumDivisor = 4;
@@ -163,8 +164,9 @@
 }
 
 std::uint32_t ClassedDiscipline::longLimit(std::uint32_t Limit) const {
-  auto Reserved =
-      static_cast<std::uint32_t>(std::ceil(this->ShortDemand * ShortHeadroom));
+  double Kept =
+      this->ShortDemand + ShortHeadroom * std::sqrt(this->ShortDemand);
+  auto Reserved = static_cast<std::uint32_t>(std::lround(Kept));
   Reserved = std::max<std::uint32_t>(Reserved, 1);
 
   std::uint32_t Minimum =
--- a/stand_ins/LoadRun.cpp
+++ b/stand_ins/LoadRun.cpp
@@ -69,6 +69,14 @@
   this->StartedAt = BootClock::now();
   this->LastAnsweredAt = this->StartedAt;
 
+  if (this->Options.Rate > 0) {
+    asio::spawn(
+        this->Io,
+        [this](const asio::yield_context &Yield) { this->arrivals(Yield); },
+        asio::detached);
+    return;
+  }
+
   for (std::uint32_t Number = 0; Number < this->Options.Connections; ++Number) {
     asio::spawn(
         this->Io,
@@ -79,37 +87,54 @@
   }
 }
 
-void LoadRun::connectionLoop(std::uint32_t Number,
-                             const asio::yield_context &Yield) {
+void LoadRun::arrivals(const asio::yield_context &Yield) {
   asio::steady_timer Timer(this->Io);
   boost::system::error_code Ignored;
   TimePoint EndsAt = this->StartedAt + this->Options.Length;
   TimePoint DueAt = this->StartedAt;
-  std::size_t Target = Number % this->Options.Targets.size();
 
   while (true) {
-    double Rate = this->rateAt(DueAt);
-    if (Rate > 0) {
-      std::exponential_distribution<double> Gap(Rate /
-                                                this->Options.Connections);
-      DueAt += std::chrono::duration_cast<Duration>(
-          std::chrono::duration<double>(Gap(this->Random)));
-      Duration Wait = DueAt - BootClock::now();
-      if (Wait > Duration::zero()) {
-        Timer.expires_after(Wait);
-        Timer.async_wait(Yield[Ignored]);
-      }
-    } else {
-      DueAt = BootClock::now();
+    std::exponential_distribution<double> Gap(this->rateAt(DueAt));
+    DueAt += std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(Gap(this->Random)));
+    if (DueAt >= EndsAt) {
+      return;
     }
 
-    if (BootClock::now() >= EndsAt) {
-      break;
+    Duration Wait = DueAt - BootClock::now();
+    if (Wait > Duration::zero()) {
+      Timer.expires_after(Wait);
+      Timer.async_wait(Yield[Ignored]);
     }
+
+    // Each request has a coroutine of its own: one that is slow must not
+    // hold up those that come after it.
+    asio::spawn(
+        this->Io,
+        [this, DueAt,
+         Number = ++this->Arrivals](const asio::yield_context &Later) {
+          Planned Work = this->plan(Number);
+          std::size_t Target = Number % this->Options.Targets.size();
+          this->sendOne(Work, Target, DueAt, Later);
+          this->noteTime();
+        },
+        asio::detached);
+  }
+}
+
+void LoadRun::connectionLoop(std::uint32_t Number,
+                             const asio::yield_context &Yield) {
+  TimePoint EndsAt = this->StartedAt + this->Options.Length;
+  std::size_t Target = Number % this->Options.Targets.size();
+
+  while (BootClock::now() < EndsAt) {
     Planned Work = this->plan(Number);
-    this->sendOne(Work, Target, DueAt, Yield);
+    this->sendOne(Work, Target, BootClock::now(), Yield);
   }
+  this->noteTime();
+}
 
+void LoadRun::noteTime() {
   this->Result.Seconds =
       std::chrono::duration<double>(BootClock::now() - this->StartedAt).count();
 }
--- a/stand_ins/LoadRun.h
+++ b/stand_ins/LoadRun.h
@@ -16,10 +16,12 @@
 
   /// Share of the requests that go to one hot key.
   double HotShare = 0;
+
+  /// Used when no rate is given: each sends its next request as soon as the
+  /// last one is answered.
   std::uint32_t Connections = 16;
 
-  /// Requests a second over all connections; zero sends as fast as answers
-  /// come.
+  /// Requests a second, at random moments; zero for none.
   double Rate = 0;
 
   /// From SurgeAt on, the rate is this many times higher.
@@ -93,6 +95,10 @@
     bool Write = false;
   };
 
+  /// Sends at the given rate, whatever becomes of earlier requests.
+  void arrivals(const boost::asio::yield_context &Yield);
+
+  /// Sends the next request when the last one has ended.
   void connectionLoop(std::uint32_t Number,
                       const boost::asio::yield_context &Yield);
   Planned plan(std::uint32_t Number);
@@ -101,6 +107,7 @@
   void note(const Planned &Work, const ExchangeResult &Exchange,
             TimePoint DueAt);
   bool isOwnAnswer(const Planned &Work, const HttpResponse &Response) const;
+  void noteTime();
   double rateAt(TimePoint Moment) const;
   bool surging(TimePoint Moment) const;
   bool chance(double Share);
@@ -113,6 +120,7 @@
   TimePoint StartedAt;
   TimePoint LastAnsweredAt;
   std::uint64_t LastRequest = 0;
+  std::uint32_t Arrivals = 0;
 };
 
 } // namespace hemlockspar
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -13,7 +13,7 @@
 # name | file | test program | perl substitution
 Mutants='
 previous-witnesses-not-asked|coordination/Recovery.cpp|member_property_test|s/bool PreviousVoted =\s+!HasPrevious/bool PreviousVoted = true || !HasPrevious/
-vote-does-not-bind|coordination/Witness.cpp|member_property_test|s/Record.VotedExpired = Record.VotedExpired \|\| Expired;\s+return Record.VotedExpired;/return Expired;/
+vote-does-not-bind|coordination/Witness.cpp|coordination_test|s/Record.VotedExpired = Record.VotedExpired \|\| Expired;\s+return Record.VotedExpired;/return Expired;/
 minority-renews|coordination/LeaseHolder.cpp|member_property_test|s/std::size_t Majority = majorityOf\(Lease.Witnesses.size\(\)\);/std::size_t Majority = 1;/
 lease-outlives-witness|coordination/Timing.h|member_property_test|s/1\.0 - this->DriftAllowance/1.0 + 4 * this->DriftAllowance/
 takeover-unconditional|coordination/Transfers.cpp|member_property_test|s/writeAt\(Transaction, leaseKey\(Lost\), Holder->LeaseVersion, Ended.toText\(\)\);/Transaction.Writes.push_back({leaseKey(Lost), Ended.toText()});/; s/writeAt\(Transaction, holdingKey\(Lost\), Holder->HoldingVersion,\s+Emptied.toText\(\)\);/Transaction.Writes.push_back({holdingKey(Lost), Emptied.toText()});/
