coordination, daemon, net: no balancing while slots wait to be claimed; API server split

Cause: at start an instance with its fair share handed half of it to peers that had not claimed theirs yet, and moves went on for minutes.

--- a/bench/scale_bench.cpp
+++ b/bench/scale_bench.cpp
@@ -11,7 +11,10 @@
 DEFINE_string(sizes, "10,20,40,80", "numbers of daemons, by commas");
 DEFINE_uint32(slots_per_daemon, 91, "slots for each daemon");
 DEFINE_uint32(seconds, 10, "length of a measurement");
+DEFINE_uint32(settle_seconds, 15, "time between start and measurement");
 DEFINE_uint32(target, 540, "size for which the lines are drawn out");
+DEFINE_string(report, "scale", "name of the report");
+DEFINE_uint32(table_writes, 400, "transactions that the table runs a second");
 DEFINE_bool(lose_data_center, true, "kill a data centre at the largest size");
 
 using namespace hemlockspar;
@@ -127,14 +130,14 @@
     Options.Instances = Size;
     Options.DataCenters = 5;
     Options.Slots = FLAGS_slots_per_daemon * Size;
-    Options.TableWritesPerSecond = 400;
+    Options.TableWritesPerSecond = FLAGS_table_writes;
 
     Mesh Cluster(60 + static_cast<int>(Run), Options);
     if (!Cluster.start()) {
       std::cerr << "a mesh of " << Size << " did not come up\n";
       return 1;
     }
-    std::this_thread::sleep_for(std::chrono::seconds(10));
+    std::this_thread::sleep_for(std::chrono::seconds(FLAGS_settle_seconds));
 
     Measured Seen = measure(Cluster, Size);
     Json::Value Row;
@@ -160,6 +163,7 @@
   for (const auto &[Name, Line] : Points) {
     Report["lines"][Name] = lineToJson(Line);
   }
-  writeReport("scale", Report);
+  Report["table_writes_limit"] = FLAGS_table_writes;
+  writeReport(FLAGS_report, Report);
   return 0;
 }
--- a/coordination/AdmissionQueue.cpp
+++ b/coordination/AdmissionQueue.cpp
@@ -1,9 +1,9 @@
 #include "coordination/AdmissionQueue.h"
 
+#include "core/EnumNames.h"
 #include "core/ErrorMacros.h"
 
 #include <algorithm>
-#include <array>
 
 namespace hemlockspar {
 
@@ -25,7 +25,7 @@
 } // namespace
 
 const char *nameOf(AdmissionVerdict Verdict) {
-  return VerdictNames[static_cast<std::size_t>(Verdict)];
+  return nameIn(VerdictNames, Verdict);
 }
 
 AdmissionQueue::AdmissionQueue(AdmissionLimits Limits, ServiceTimes &Learned,
--- a/coordination/Balancer.cpp
+++ b/coordination/Balancer.cpp
@@ -1,7 +1,8 @@
 #include "coordination/Balancer.h"
 
+#include "core/EnumNames.h"
+
 #include <algorithm>
-#include <array>
 
 namespace hemlockspar {
 
@@ -24,17 +25,12 @@
 } // namespace
 
 const char *nameOf(PlacementPreference Preference) {
-  return PreferenceNames[static_cast<std::size_t>(Preference)];
+  return nameIn(PreferenceNames, Preference);
 }
 
 std::optional<PlacementPreference>
 placementPreferenceOf(const std::string &Name) {
-  for (std::size_t Index = 0; Index < PreferenceNames.size(); ++Index) {
-    if (Name == PreferenceNames[Index]) {
-      return static_cast<PlacementPreference>(Index);
-    }
-  }
-  return std::nullopt;
+  return enumIn<PlacementPreference>(PreferenceNames, Name);
 }
 
 Balancer::Balancer(PlacementPreference Preference) : Preference(Preference) {}
--- a/coordination/LeaseKeeper.cpp
+++ b/coordination/LeaseKeeper.cpp
@@ -1,9 +1,9 @@
 #include "coordination/LeaseKeeper.h"
 
+#include "core/EnumNames.h"
 #include "core/ErrorMacros.h"
 
 #include <algorithm>
-#include <array>
 
 namespace hemlockspar {
 
@@ -19,9 +19,7 @@
 
 } // namespace
 
-const char *nameOf(Membership State) {
-  return MembershipNames[static_cast<std::size_t>(State)];
-}
+const char *nameOf(Membership State) { return nameIn(MembershipNames, State); }
 
 LeaseKeeper::LeaseKeeper(MemberContext &Context)
     : Context(Context), Holder(Context.Identity.Instance, Context.Times),
--- a/coordination/Member.cpp
+++ b/coordination/Member.cpp
@@ -152,6 +152,11 @@
     return;
   }
 
+  // While slots are there to be claimed, peers with few are about to claim.
+  if (this->Moves.poolHasSlots()) {
+    return;
+  }
+
   Duration Interval = this->Context.Times.BalanceInterval;
   this->NextSampleAt = Now + Interval / 2 + this->Context.randomSpan(Interval);
 
--- a/coordination/MemberActions.cpp
+++ b/coordination/MemberActions.cpp
@@ -1,6 +1,6 @@
 #include "coordination/MemberActions.h"
 
-#include <array>
+#include "core/EnumNames.h"
 
 namespace hemlockspar {
 
@@ -15,7 +15,7 @@
 } // namespace
 
 const char *nameOf(PlacementEvent Event) {
-  return PlacementEventNames[static_cast<std::size_t>(Event)];
+  return nameIn(PlacementEventNames, Event);
 }
 
 } // namespace hemlockspar
--- a/coordination/Mover.cpp
+++ b/coordination/Mover.cpp
@@ -109,35 +109,47 @@
   return true;
 }
 
+std::vector<Mover::OpenPool> Mover::openPools() const {
+  std::vector<OpenPool> Open;
+  const std::string &Service = this->Context.self()->Holding.Service;
+
+  for (const TableRow *Row : this->Context.Cache.withPrefix(PoolPrefix)) {
+    auto Pool = PoolRow::fromText(*Row->Value);
+    if (Pool && Pool->Service == Service && !Pool->Slots.empty()) {
+      Open.push_back(
+          {*withoutPrefix(Row->Key, PoolPrefix), std::move(Pool->Slots)});
+    }
+  }
+  return Open;
+}
+
+bool Mover::poolHasSlots() const {
+  return this->Context.self() && !this->openPools().empty();
+}
+
 bool Mover::claimFromPool(TimePoint Now) {
   const Directory::Instance *Self = this->Context.self();
   if (!Self->Holding.Accepting) {
     return false;
   }
 
-  for (const TableRow *Row : this->Context.Cache.withPrefix(PoolPrefix)) {
-    auto Pool = PoolRow::fromText(*Row->Value);
-    if (!Pool || Pool->Service != Self->Holding.Service ||
-        Pool->Slots.empty()) {
-      continue;
-    }
-
-    std::string Keyspace = *withoutPrefix(Row->Key, PoolPrefix);
-    std::size_t Share = this->fairShare(Keyspace, Pool->Slots);
-    auto Owned = Self->Holding.Slots.find(Keyspace);
+  for (const OpenPool &Pool : this->openPools()) {
+    std::size_t Share = this->fairShare(Pool.Keyspace, Pool.Slots);
+    auto Owned = Self->Holding.Slots.find(Pool.Keyspace);
     std::size_t Have =
         Owned == Self->Holding.Slots.end() ? 0 : Owned->second.size();
     if (Have >= Share) {
       continue;
     }
 
-    std::size_t Count = std::min(Share - Have, Pool->Slots.size());
+    std::size_t Count = std::min(Share - Have, Pool.Slots.size());
     Transfers Build(this->Context.Known, this->Context.Cache);
     this->Context.Actions.decided({PlacementEvent::SlotsClaimed,
                                    this->Context.Identity.Instance, Count,
-                                   Keyspace});
-    this->commit(Build.claim(Keyspace, this->Context.Identity.Instance, Count),
-                 Now);
+                                   Pool.Keyspace});
+    this->commit(
+        Build.claim(Pool.Keyspace, this->Context.Identity.Instance, Count),
+        Now);
     return true;
   }
 
--- a/coordination/Mover.h
+++ b/coordination/Mover.h
@@ -41,11 +41,21 @@
 
   void tick(TimePoint Now);
 
+  /// Whether slots of this instance's service wait to be claimed.
+  bool poolHasSlots() const;
+
   bool idle() const { return this->Phase == MovePhase::Idle; }
 
 private:
   enum class MovePhase { Idle, Freezing, Committing, Unresolved };
 
+  /// A key space of this instance's service with unowned slots.
+  struct OpenPool {
+    std::string Keyspace;
+    SlotGrants Slots;
+  };
+
+  std::vector<OpenPool> openPools() const;
   void startNext(TimePoint Now);
   bool updateOwnRow(TimePoint Now);
   bool giveUpSlots(TimePoint Now);
--- a/coordination/OutcomeLedger.cpp
+++ b/coordination/OutcomeLedger.cpp
@@ -1,7 +1,8 @@
 #include "coordination/OutcomeLedger.h"
 
+#include "core/EnumNames.h"
+
 #include <algorithm>
-#include <array>
 
 namespace hemlockspar {
 
@@ -13,7 +14,7 @@
 } // namespace
 
 const char *nameOf(LedgerVerdict Verdict) {
-  return VerdictNames[static_cast<std::size_t>(Verdict)];
+  return nameIn(VerdictNames, Verdict);
 }
 
 OutcomeLedger::OutcomeLedger(Limits Bounds) : Bounds(Bounds) {}
--- a/coordination/QueueDiscipline.cpp
+++ b/coordination/QueueDiscipline.cpp
@@ -1,7 +1,8 @@
 #include "coordination/QueueDiscipline.h"
 
+#include "core/EnumNames.h"
+
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 namespace hemlockspar {
@@ -22,17 +23,10 @@
 
 } // namespace
 
-const char *nameOf(QueueOrder Order) {
-  return QueueOrderNames[static_cast<std::size_t>(Order)];
-}
+const char *nameOf(QueueOrder Order) { return nameIn(QueueOrderNames, Order); }
 
 std::optional<QueueOrder> queueOrderOf(const std::string &Name) {
-  for (std::size_t Index = 0; Index < QueueOrderNames.size(); ++Index) {
-    if (Name == QueueOrderNames[Index]) {
-      return static_cast<QueueOrder>(Index);
-    }
-  }
-  return std::nullopt;
+  return enumIn<QueueOrder>(QueueOrderNames, Name);
 }
 
 // FifoDiscipline
--- a/coordination/Rows.cpp
+++ b/coordination/Rows.cpp
@@ -1,9 +1,8 @@
 #include "coordination/Rows.h"
 
+#include "core/EnumNames.h"
 #include "core/Json.h"
 
-#include <array>
-
 namespace hemlockspar {
 
 namespace {
@@ -12,12 +11,7 @@
                                                          "released"};
 
 std::optional<LeaseState> leaseStateOf(const std::string &Name) {
-  for (std::size_t Index = 0; Index < LeaseStateNames.size(); ++Index) {
-    if (Name == LeaseStateNames[Index]) {
-      return static_cast<LeaseState>(Index);
-    }
-  }
-  return std::nullopt;
+  return enumIn<LeaseState>(LeaseStateNames, Name);
 }
 
 Json::Value witnessesToJson(const WitnessSet &Witnesses) {
@@ -73,9 +67,7 @@
 
 } // namespace
 
-const char *nameOf(LeaseState State) {
-  return LeaseStateNames[static_cast<std::size_t>(State)];
-}
+const char *nameOf(LeaseState State) { return nameIn(LeaseStateNames, State); }
 
 std::string LeaseRow::toText() const {
   Json::Value Value;
--- a/coordination/Table.cpp
+++ b/coordination/Table.cpp
@@ -1,6 +1,6 @@
 #include "coordination/Table.h"
 
-#include <array>
+#include "core/EnumNames.h"
 
 namespace hemlockspar {
 
@@ -12,7 +12,7 @@
 } // namespace
 
 const char *nameOf(CommitOutcome Outcome) {
-  return CommitOutcomeNames[static_cast<std::size_t>(Outcome)];
+  return nameIn(CommitOutcomeNames, Outcome);
 }
 
 RowBatch writtenRows(const TableTransaction &Transaction, RowVersion Version) {
--- a/core/BoundedRing.h
+++ b/core/BoundedRing.h
@@ -23,8 +23,11 @@
   /// Sets what handles a message. Called once, before the first push.
   void setHandler(Handler OnMessage) { this->OnMessage = std::move(OnMessage); }
 
-  /// Returns false when the ring is full.
+  /// Returns false when the ring is full; \p Item is then left as it was.
   bool push(Message &&Item) {
+    if (!this->Queue.write_available()) {
+      return false;
+    }
     if (!this->Queue.push(std::move(Item))) {
       return false;
     }
--- a/daemon/Answers.cpp
+++ b/daemon/Answers.cpp
@@ -1,9 +1,8 @@
 #include "daemon/Answers.h"
 
+#include "core/EnumNames.h"
 #include "daemon/RequestHeaders.h"
 
-#include <array>
-
 namespace hemlockspar {
 
 namespace {
@@ -61,13 +60,19 @@
 } // namespace
 
 const char *nameOf(RequestOutcome Outcome) {
-  return OutcomeNames[static_cast<std::size_t>(Outcome)];
+  return nameIn(OutcomeNames, Outcome);
+}
+
+std::optional<RequestOutcome> requestOutcomeOf(const std::string &Name) {
+  return enumIn<RequestOutcome>(OutcomeNames, Name);
 }
 
-const char *nameOf(AnswerReason Reason) {
-  return ReasonNames[static_cast<std::size_t>(Reason)];
+std::optional<AnswerReason> answerReasonOf(const std::string &Name) {
+  return enumIn<AnswerReason>(ReasonNames, Name);
 }
 
+const char *nameOf(AnswerReason Reason) { return nameIn(ReasonNames, Reason); }
+
 Answer notRun(AnswerReason Reason, const std::string &Detail,
               std::chrono::seconds RetryAfter) {
   Answer Result = makeAnswer(RequestOutcome::NotRun, Reason, Detail);
--- a/daemon/Answers.h
+++ b/daemon/Answers.h
@@ -9,6 +9,7 @@
 
 /// Name of \p Outcome as the header shows it.
 const char *nameOf(RequestOutcome Outcome);
+std::optional<RequestOutcome> requestOutcomeOf(const std::string &Name);
 
 /// Why a request was not run, or why its outcome is not known.
 enum class AnswerReason {
@@ -33,6 +34,7 @@
 
 /// Name of \p Reason as the header shows it.
 const char *nameOf(AnswerReason Reason);
+std::optional<AnswerReason> answerReasonOf(const std::string &Name);
 
 /// What a request came to.
 struct Answer {
--- a/daemon/ControlPlane.cpp
+++ b/daemon/ControlPlane.cpp
@@ -16,6 +16,10 @@
 constexpr auto PeerTimeout = std::chrono::milliseconds(400);
 constexpr auto RowsTimeout = std::chrono::milliseconds(2000);
 
+/// Renewals keep the connections to witnesses in use.
+constexpr auto PeerIdleTime = std::chrono::seconds(5);
+constexpr auto IdleCheckInterval = std::chrono::seconds(1);
+
 MemberIdentity identityOf(const Settings &Config, Incarnation Incarnation) {
   MemberIdentity Identity;
   Identity.Instance = Config.Instance;
@@ -73,19 +77,40 @@
   });
 }
 
+void ControlPlane::tellRequestThread(ToRequests &&Message) {
+  this->Unsent.push_back(std::move(Message));
+  this->flushToRequestThread();
+}
+
+void ControlPlane::flushToRequestThread() {
+  // A message that the ring refuses has not been moved from.
+  while (!this->Unsent.empty() &&
+         this->ToRequestThread.push(std::move(this->Unsent.front()))) {
+    this->Unsent.pop_front();
+  }
+}
+
 void ControlPlane::tick() {
   TimePoint Now = BootClock::now();
+  this->flushToRequestThread();
   this->applyBackend(Now);
   this->Self.tick(Now);
   this->publish();
   this->setGauges();
   this->checkDrained();
+
+  // A push speaks to every peer; connections kept to all of them would cost
+  // far more memory than the rows.
+  if (Now >= this->NextIdleCheckAt) {
+    this->NextIdleCheckAt = Now + IdleCheckInterval;
+    this->Peers.closeIdle(PeerIdleTime);
+  }
 }
 
 void ControlPlane::publish() {
   if (this->PublishedChanges != this->Self.changeCount()) {
     this->PublishedChanges = this->Self.changeCount();
-    this->ToRequestThread.push(RoutingChanged{
+    this->tellRequestThread(RoutingChanged{
         RoutingTable::build(this->Self.directory(), this->Self.cache())});
     this->publishPolicy();
   }
@@ -93,7 +118,7 @@
   TimePoint Lease = this->Self.leaseExpiresAt();
   if (Lease != this->PublishedLease) {
     this->PublishedLease = Lease;
-    this->ToRequestThread.push(LeaseExtended{Lease});
+    this->tellRequestThread(LeaseExtended{Lease});
   }
 }
 
@@ -108,7 +133,7 @@
   auto Placement = placementPreferenceOf(getString(Spec, "placement"));
   auto Order = queueOrderOf(getString(Spec, "queue"));
   this->Self.setPreference(Placement.value_or(PlacementPreference::FewMoves));
-  this->ToRequestThread.push(
+  this->tellRequestThread(
       QueueOrderChanged{Order.value_or(QueueOrder::Classed)});
 }
 
@@ -132,7 +157,7 @@
       .with("lost", State.Lost ? "yes" : "no")
       .with("capacity", State.Capacity);
   this->PublishedBackend = State;
-  this->ToRequestThread.push(std::move(State));
+  this->tellRequestThread(std::move(State));
   this->publishPolicy();
 }
 
@@ -167,7 +192,7 @@
   this->OnLeft = std::move(OnLeft);
   this->DrainDeadline = BootClock::now() + this->Config.DrainTimeout;
   this->Self.beginDrain();
-  this->ToRequestThread.push(DrainAdvanced{false});
+  this->tellRequestThread(DrainAdvanced{false});
 }
 
 void ControlPlane::checkDrained() {
@@ -179,7 +204,7 @@
 
   if (!this->LeftAnnounced) {
     this->LeftAnnounced = true;
-    this->ToRequestThread.push(DrainAdvanced{true});
+    this->tellRequestThread(DrainAdvanced{true});
   }
 
   if (this->CallersServed || BootClock::now() >= this->DrainDeadline) {
@@ -333,13 +358,13 @@
 
 void ControlPlane::freezeSlots(std::uint64_t Handover,
                                const SlotsByKeyspace &Slots, bool WaitForBusy) {
-  this->ToRequestThread.push(FreezeWanted{Handover, Slots, WaitForBusy});
+  this->tellRequestThread(FreezeWanted{Handover, Slots, WaitForBusy});
 }
 
 void ControlPlane::thawSlots(std::uint64_t Handover) {
   // The new owner must be known before the slots are let go.
   this->publish();
-  this->ToRequestThread.push(ThawWanted{Handover});
+  this->tellRequestThread(ThawWanted{Handover});
 }
 
 void ControlPlane::decided(const PlacementDecision &Decision) {
--- a/daemon/ControlPlane.h
+++ b/daemon/ControlPlane.h
@@ -10,6 +10,7 @@
 #include "platform/TableService.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 
 namespace hemlockspar {
 
@@ -69,6 +70,11 @@
   void thawSlots(std::uint64_t Handover) override;
   void decided(const PlacementDecision &Decision) override;
 
+  /// Passes a message on in order; one that finds the ring full waits for
+  /// the next tick.
+  void tellRequestThread(ToRequests &&Message);
+  void flushToRequestThread();
+
   void bindCalls();
   void scheduleTick();
   void tick();
@@ -94,7 +100,9 @@
   BackendMonitor Backend;
   boost::asio::steady_timer Ticker;
 
+  std::deque<ToRequests> Unsent;
   OwnLoad Load;
+  TimePoint NextIdleCheckAt;
   std::uint64_t PublishedChanges = 0;
   TimePoint PublishedLease;
   BackendChanged PublishedBackend;
--- a/daemon/ForwardPath.cpp
+++ b/daemon/ForwardPath.cpp
@@ -12,27 +12,6 @@
   return Bounds;
 }
 
-AnswerReason reasonOf(const std::string &Name) {
-  for (int Index = 0; Index <= static_cast<int>(AnswerReason::CallerGone);
-       ++Index) {
-    auto Reason = static_cast<AnswerReason>(Index);
-    if (Name == nameOf(Reason)) {
-      return Reason;
-    }
-  }
-  return AnswerReason::None;
-}
-
-RequestOutcome outcomeOf(const std::string &Name) {
-  if (Name == nameOf(RequestOutcome::Answered)) {
-    return RequestOutcome::Answered;
-  }
-  if (Name == nameOf(RequestOutcome::NotRun)) {
-    return RequestOutcome::NotRun;
-  }
-  return RequestOutcome::Unknown;
-}
-
 } // namespace
 
 ForwardPath::ForwardPath(boost::asio::io_context &Io, Metrics &Counters,
@@ -83,8 +62,11 @@
 
   Answer Result;
   eraseHopHeaders(Exchange.Response);
-  Result.Outcome = outcomeOf(headerOf(Exchange.Response, headers::Outcome));
-  Result.Reason = reasonOf(headerOf(Exchange.Response, headers::Reason));
+  Result.Outcome =
+      requestOutcomeOf(headerOf(Exchange.Response, headers::Outcome))
+          .value_or(RequestOutcome::Unknown);
+  Result.Reason = answerReasonOf(headerOf(Exchange.Response, headers::Reason))
+                      .value_or(AnswerReason::None);
   Result.Response = std::move(Exchange.Response);
   return Result;
 }
--- a/daemon/OwnerPath.cpp
+++ b/daemon/OwnerPath.cpp
@@ -3,6 +3,7 @@
 #include "core/ErrorMacros.h"
 #include "core/Hash.h"
 #include "core/Json.h"
+#include "net/Event.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -18,6 +19,10 @@
 /// server.
 constexpr auto DispatchMargin = std::chrono::milliseconds(20);
 
+/// A new connection costs the backend server about 1 ms; these are kept open
+/// for the next requests.
+constexpr std::size_t WarmConnections = 4;
+
 constexpr auto GrantTimeout = std::chrono::milliseconds(300);
 
 std::string ledgerKey(const RoutedRequest &Routed) {
@@ -40,10 +45,15 @@
 
 /// A request that waits for its turn.
 struct OwnerPath::Waiter {
-  explicit Waiter(asio::io_context &Io) : Timer(Io) {}
+  explicit Waiter(asio::io_context &Io) : Decided(Io) {}
+
+  void decide(AdmissionVerdict Chosen) {
+    this->Verdict = Chosen;
+    this->Decided.set();
+  }
 
-  asio::steady_timer Timer;
-  std::optional<AdmissionVerdict> Verdict;
+  Event Decided;
+  AdmissionVerdict Verdict = AdmissionVerdict::Shed;
 };
 
 OwnerPath::OwnerPath(asio::io_context &Io, Metrics &Counters,
@@ -239,20 +249,14 @@
 
   Watch.OnGone = [this, Number, &Turn] {
     if (this->Queue->cancel(Number)) {
-      Turn.Verdict = AdmissionVerdict::Shed;
-      Turn.Timer.cancel();
+      Turn.decide(AdmissionVerdict::Shed);
     }
   };
 
-  while (!Turn.Verdict) {
-    boost::system::error_code Ignored;
-    Turn.Timer.expires_at(asio::steady_timer::time_point::max());
-    Turn.Timer.async_wait(Yield[Ignored]);
-  }
-
+  Turn.Decided.wait(Yield);
   Watch.OnGone = nullptr;
   this->Waiters.erase(Number);
-  return *Turn.Verdict == AdmissionVerdict::Dispatch;
+  return Turn.Verdict == AdmissionVerdict::Dispatch;
 }
 
 void OwnerPath::applyVerdicts() {
@@ -261,8 +265,7 @@
     auto Place = this->Waiters.find(Decision.Request);
     HS_FAIL_COND(Place == this->Waiters.end());
 
-    Place->second->Verdict = Decision.Verdict;
-    Place->second->Timer.cancel();
+    Place->second->decide(Decision.Verdict);
   }
 }
 
@@ -380,6 +383,8 @@
     return;
   }
 
+  this->Client.warm(this->Backend.Server, WarmConnections, Yield);
+
   SlotsByKeyspace Slots;
   for (const auto &[Slot, Grant] : this->Owned) {
     Slots[Slot.first].add({Slot.second, Grant.Token});
--- a/daemon/RequestPlane.cpp
+++ b/daemon/RequestPlane.cpp
@@ -1,6 +1,7 @@
 #include "daemon/RequestPlane.h"
 
 #include "core/ErrorMacros.h"
+#include "net/Event.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -231,13 +232,11 @@
 }
 
 void RequestPlane::pause(TimePoint Deadline, const asio::yield_context &Yield) {
-  Duration Left = Deadline - BootClock::now();
-  boost::system::error_code Ignored;
-  asio::steady_timer Timer(this->Io);
+  auto Left =
+      std::chrono::ceil<std::chrono::milliseconds>(Deadline - BootClock::now());
 
   ++this->Waiting;
-  Timer.expires_after(std::min<Duration>(RetryPause, Left));
-  Timer.async_wait(Yield[Ignored]);
+  sleepFor(this->Io, std::min(RetryPause, Left), Yield);
   --this->Waiting;
 }
 
--- /dev/null
+++ b/daemon/ResourceViews.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "coordination/Member.h"
+#include "daemon/Resources.h"
+
+namespace hemlockspar {
+
+/// All declared resources of \p Kind, as a JSON list.
+Json::Value declaredView(const Member &Self, ResourceKind Kind);
+
+/// All instances ever heard of, as a JSON list.
+Json::Value instancesView(const Member &Self);
+
+/// For each key space, its slots by owner, as a JSON list.
+Json::Value ownershipView(const Member &Self);
+
+/// Who owns \p Key; nothing when the key space is not declared.
+std::optional<Json::Value> keyView(const Member &Self,
+                                   const std::string &Keyspace,
+                                   const std::string &Key);
+
+} // namespace hemlockspar
--- /dev/null
+++ b/daemon/ResourceWriter.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "daemon/ControlPlane.h"
+#include "daemon/Resources.h"
+#include "net/Http.h"
+
+namespace hemlockspar {
+
+/// Writes declared resources for operators: checks the declaration and the
+/// version that it was made from, runs one table transaction, and answers
+/// only when its outcome is known. Runs on the control thread.
+class ResourceWriter {
+public:
+  ResourceWriter(boost::asio::io_context &Io, ControlPlane &Control);
+
+  HttpResponse put(ResourceKind Kind, const std::string &Name,
+                   const HttpRequest &Request,
+                   const boost::asio::yield_context &Yield);
+  HttpResponse remove(ResourceKind Kind, const std::string &Name,
+                      const HttpRequest &Request,
+                      const boost::asio::yield_context &Yield);
+
+private:
+  HttpResponse write(const Resource &Wanted, bool Delete,
+                     const boost::asio::yield_context &Yield);
+  TableTransaction transactionFor(const Resource &Wanted, bool Delete) const;
+  CommitResult commit(const TableTransaction &Transaction,
+                      const boost::asio::yield_context &Yield);
+
+  /// Finds out what became of a write whose answer was lost.
+  CommitResult settle(const TableTransaction &Transaction,
+                      const Resource &Wanted,
+                      const boost::asio::yield_context &Yield);
+  std::optional<HttpResponse> checkCondition(const HttpRequest &Request,
+                                             RowVersion Current) const;
+  std::string nextRequestId();
+
+  boost::asio::io_context &Io;
+  ControlPlane &Control;
+  std::uint64_t LastRequest = 0;
+};
+
+} // namespace hemlockspar
--- a/daemon/Resources.cpp
+++ b/daemon/Resources.cpp
@@ -3,12 +3,12 @@
 #include "coordination/Balancer.h"
 #include "coordination/QueueDiscipline.h"
 #include "coordination/Rows.h"
+#include "core/EnumNames.h"
 #include "core/Json.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <algorithm>
-#include <array>
 
 namespace hemlockspar {
 
@@ -107,17 +107,10 @@
 
 } // namespace
 
-const char *nameOf(ResourceKind Kind) {
-  return KindNames[static_cast<std::size_t>(Kind)];
-}
+const char *nameOf(ResourceKind Kind) { return nameIn(KindNames, Kind); }
 
 std::optional<ResourceKind> resourceKindOf(const std::string &Name) {
-  for (std::size_t Index = 0; Index < KindNames.size(); ++Index) {
-    if (Name == KindNames[Index]) {
-      return static_cast<ResourceKind>(Index);
-    }
-  }
-  return std::nullopt;
+  return enumIn<ResourceKind>(KindNames, Name);
 }
 
 std::string resourceKey(ResourceKind Kind, const std::string &Name) {
@@ -173,6 +166,18 @@
   return Result;
 }
 
+bool findDeclared(const RowCache &Cache, ResourceKind Kind,
+                  const std::string &Name, Resource &Found) {
+  const TableRow *Row = Cache.find(resourceKey(Kind, Name));
+  auto Read = Row ? Resource::fromRow(*Row) : std::nullopt;
+  if (!Read) {
+    return false;
+  }
+
+  Found = std::move(*Read);
+  return true;
+}
+
 std::vector<std::string> checkSpec(ResourceKind Kind, const std::string &Name,
                                    const Json::Value &Spec) {
   std::vector<std::string> Faults;
--- a/daemon/Resources.h
+++ b/daemon/Resources.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/Table.h"
+#include "coordination/RowCache.h"
 
 #include <absl/status/status.h>
 #include <json/value.h>
@@ -36,6 +36,11 @@
   static std::optional<Resource> fromRow(const TableRow &Row);
 };
 
+/// Reads the declared resource \p Name into \p Found; false when there is
+/// none.
+bool findDeclared(const RowCache &Cache, ResourceKind Kind,
+                  const std::string &Name, Resource &Found);
+
 /// Checks a declaration; one message for each field that is wrong.
 std::vector<std::string> checkSpec(ResourceKind Kind, const std::string &Name,
                                    const Json::Value &Spec);
--- /dev/null
+++ b/net/Acceptor.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "net/Address.h"
+
+#include <absl/status/status.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <functional>
+
+namespace hemlockspar {
+
+/// Listens on one address and runs each connection in a stackful coroutine of
+/// its own. Lives as long as its io_context runs.
+class Acceptor {
+public:
+  using Socket = boost::asio::ip::tcp::socket;
+  using Session =
+      std::function<void(Socket Peer, const boost::asio::yield_context &Yield)>;
+
+  /// At most \p MaxConnections are served at once; more wait to be accepted.
+  Acceptor(boost::asio::io_context &Io, std::size_t MaxConnections,
+           Session OnConnection);
+
+  Acceptor(const Acceptor &) = delete;
+  Acceptor &operator=(const Acceptor &) = delete;
+
+  /// Fails when the address cannot be bound.
+  absl::Status listen(const Address &At);
+
+  /// Takes no more connections.
+  void close();
+
+private:
+  void acceptLoop(const boost::asio::yield_context &Yield);
+  void serve(Socket Peer, const boost::asio::yield_context &Yield);
+
+  boost::asio::io_context &Io;
+  std::size_t MaxConnections;
+  Session OnConnection;
+  boost::asio::ip::tcp::acceptor Listener;
+  std::size_t Connections = 0;
+};
+
+} // namespace hemlockspar
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "net/HttpClient.h"
 
-#include <array>
+#include "core/EnumNames.h"
+
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -39,7 +40,7 @@
 } // namespace
 
 const char *nameOf(ExchangeOutcome Outcome) {
-  return OutcomeNames[static_cast<std::size_t>(Outcome)];
+  return nameIn(OutcomeNames, Outcome);
 }
 
 HttpClient::HttpClient(asio::io_context &Io, Limits Bounds)
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -1,9 +1,7 @@
 #include "net/HttpServer.h"
 
 #include "core/Log.h"
-#include "net/Listen.h"
 
-#include <boost/asio/detached.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -16,7 +14,6 @@
 namespace {
 
 constexpr std::size_t FirstReadBytes = 4096;
-constexpr auto AcceptRetry = std::chrono::milliseconds(50);
 
 /// The answer to a request that could not be read; nothing when the
 /// connection simply ended.
@@ -68,59 +65,22 @@
 
 HttpServer::HttpServer(asio::io_context &Io, HttpLimits Limits,
                        Handler OnRequest)
-    : Io(Io), Limits(Limits), OnRequest(std::move(OnRequest)), Acceptor(Io) {}
-
-absl::Status HttpServer::listen(const Address &At) {
-  absl::Status Listening = listenAt(this->Acceptor, At);
-  if (!Listening.ok()) {
-    return Listening;
-  }
-
-  asio::spawn(
-      this->Io,
-      [this](const asio::yield_context &Yield) { this->acceptLoop(Yield); },
-      asio::detached);
-  return absl::OkStatus();
-}
-
-void HttpServer::acceptLoop(const asio::yield_context &Yield) {
-  asio::steady_timer Pause(this->Io);
-
-  while (!this->Draining) {
-    error_code Error;
-    asio::ip::tcp::socket Socket(this->Io);
-    this->Acceptor.async_accept(Socket, Yield[Error]);
-
-    if (Error == asio::error::operation_aborted) {
-      return;
-    }
-    if (Error || this->Streams.size() >= this->Limits.Connections) {
-      Pause.expires_after(AcceptRetry);
-      Pause.async_wait(Yield[Error]);
-      continue;
-    }
-
-    asio::spawn(
-        this->Io,
-        [this,
-         Peer = std::move(Socket)](const asio::yield_context &Later) mutable {
-          this->serve(std::move(Peer), Later);
-        },
-        asio::detached);
-  }
-}
+    : Limits(Limits), OnRequest(std::move(OnRequest)),
+      Incoming(
+          Io, Limits.Connections,
+          [this](asio::ip::tcp::socket Peer, const asio::yield_context &Yield) {
+            this->serve(std::move(Peer), Yield);
+          }) {}
 
 void HttpServer::serve(asio::ip::tcp::socket Socket,
                        const asio::yield_context &Yield) {
-  error_code Ignored;
-  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
-
   Connection Peer(std::move(Socket));
   this->Streams.insert(&Peer);
 
   while (this->serveOne(Peer, Yield)) {
   }
 
+  error_code Ignored;
   this->Streams.erase(&Peer);
   Peer.Peer.socket().shutdown(asio::socket_base::shutdown_send, Ignored);
 }
@@ -215,11 +175,8 @@
 }
 
 void HttpServer::drain() {
-  this->Draining = true;
   this->KeepAlive = false;
-
-  error_code Ignored;
-  this->Acceptor.close(Ignored);
+  this->Incoming.close();
 
   for (Connection *Peer : this->Streams) {
     if (!Peer->Busy) {
--- a/net/HttpServer.h
+++ b/net/HttpServer.h
@@ -1,12 +1,8 @@
 #pragma once
 
-#include "net/Address.h"
+#include "net/Acceptor.h"
 #include "net/Http.h"
 
-#include <absl/status/status.h>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/spawn.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <set>
@@ -30,7 +26,7 @@
   HttpServer &operator=(const HttpServer &) = delete;
 
   /// Starts to listen. Fails when the address cannot be bound.
-  absl::Status listen(const Address &At);
+  absl::Status listen(const Address &At) { return this->Incoming.listen(At); }
 
   /// From now on each answer asks its peer to open a new connection.
   void refuseKeepAlive() { this->KeepAlive = false; }
@@ -46,7 +42,6 @@
   using Stream = boost::beast::tcp_stream;
   struct Connection;
 
-  void acceptLoop(const boost::asio::yield_context &Yield);
   void serve(boost::asio::ip::tcp::socket Socket,
              const boost::asio::yield_context &Yield);
   bool serveOne(Connection &Peer, const boost::asio::yield_context &Yield);
@@ -55,12 +50,10 @@
   bool send(Connection &Peer, HttpResponse &Response,
             const boost::asio::yield_context &Yield);
 
-  boost::asio::io_context &Io;
   HttpLimits Limits;
   Handler OnRequest;
-  boost::asio::ip::tcp::acceptor Acceptor;
+  Acceptor Incoming;
   bool KeepAlive = true;
-  bool Draining = false;
   std::set<Connection *> Streams;
 };
 
--- a/net/RpcClient.cpp
+++ b/net/RpcClient.cpp
@@ -31,6 +31,7 @@
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
   std::string Input;
+  TimePoint UsedAt;
   bool Connected = false;
 };
 
@@ -72,6 +73,7 @@
         Through->Timer.cancel();
         --this->Outstanding[Peer];
         if (Through->Socket.is_open() && Through->Connected) {
+          Through->UsedAt = BootClock::now();
           this->Idle[Peer].push_back(Through);
         }
         OnDone(Answer);
@@ -79,6 +81,19 @@
       asio::detached);
 }
 
+void RpcClient::closeIdle(Duration Age) {
+  TimePoint Oldest = BootClock::now() - Age;
+
+  for (auto &[Peer, Free] : this->Idle) {
+    std::erase_if(Free,
+                  [&](const LinkPtr &Kept) { return Kept->UsedAt < Oldest; });
+  }
+  std::erase_if(this->Idle,
+                [](const auto &Entry) { return Entry.second.empty(); });
+  std::erase_if(this->Outstanding,
+                [](const auto &Entry) { return Entry.second == 0; });
+}
+
 RpcClient::LinkPtr RpcClient::takeLink(const Address &Peer) {
   std::vector<LinkPtr> &Free = this->Idle[Peer];
   if (Free.empty()) {
--- a/net/RpcClient.h
+++ b/net/RpcClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Clock.h"
 #include "net/Address.h"
 #include "net/RpcCodec.h"
 
@@ -30,6 +31,9 @@
             const Json::Value &Params, std::chrono::milliseconds Timeout,
             Done OnDone);
 
+  /// Closes connections that have carried no call for \p Age.
+  void closeIdle(Duration Age);
+
   /// Bytes of calls sent and of answers received.
   std::uint64_t bytesSent() const { return this->Sent; }
   std::uint64_t bytesReceived() const { return this->Received; }
--- a/net/RpcServer.cpp
+++ b/net/RpcServer.cpp
@@ -1,10 +1,6 @@
 #include "net/RpcServer.h"
 
-#include "net/Listen.h"
-
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace hemlockspar {
@@ -16,60 +12,22 @@
 
 constexpr std::size_t MaxLineBytes = 8 << 20;
 constexpr std::size_t MaxConnections = 4096;
-constexpr auto AcceptRetry = std::chrono::milliseconds(50);
 
 } // namespace
 
 RpcServer::RpcServer(asio::io_context &Io, RpcDispatcher &Dispatcher)
-    : Io(Io), Dispatcher(Dispatcher), Acceptor(Io) {}
-
-absl::Status RpcServer::listen(const Address &At) {
-  absl::Status Listening = listenAt(this->Acceptor, At);
-  if (!Listening.ok()) {
-    return Listening;
-  }
-
-  asio::spawn(
-      this->Io,
-      [this](const asio::yield_context &Yield) { this->acceptLoop(Yield); },
-      asio::detached);
-  return absl::OkStatus();
-}
-
-void RpcServer::acceptLoop(const asio::yield_context &Yield) {
-  asio::steady_timer Pause(this->Io);
-
-  while (true) {
-    error_code Error;
-    asio::ip::tcp::socket Socket(this->Io);
-    this->Acceptor.async_accept(Socket, Yield[Error]);
-
-    if (Error == asio::error::operation_aborted) {
-      return;
-    }
-    if (Error || this->Connections >= MaxConnections) {
-      Pause.expires_after(AcceptRetry);
-      Pause.async_wait(Yield[Error]);
-      continue;
-    }
-
-    asio::spawn(
-        this->Io,
-        [this,
-         Peer = std::move(Socket)](const asio::yield_context &Later) mutable {
-          this->serve(std::move(Peer), Later);
-        },
-        asio::detached);
-  }
-}
+    : Dispatcher(Dispatcher),
+      Incoming(
+          Io, MaxConnections,
+          [this](asio::ip::tcp::socket Peer, const asio::yield_context &Yield) {
+            this->serve(std::move(Peer), Yield);
+          }) {}
 
 void RpcServer::serve(asio::ip::tcp::socket Socket,
                       const asio::yield_context &Yield) {
   error_code Error;
-  Socket.set_option(asio::ip::tcp::no_delay(true), Error);
-  ++this->Connections;
-
   std::string Input;
+
   while (true) {
     std::size_t Length = asio::async_read_until(
         Socket, asio::dynamic_buffer(Input, MaxLineBytes), '\n', Yield[Error]);
@@ -88,8 +46,6 @@
       break;
     }
   }
-
-  --this->Connections;
 }
 
 } // namespace hemlockspar
--- a/net/RpcServer.h
+++ b/net/RpcServer.h
@@ -1,12 +1,8 @@
 #pragma once
 
-#include "net/Address.h"
+#include "net/Acceptor.h"
 #include "net/RpcCodec.h"
 
-#include <absl/status/status.h>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/spawn.hpp>
-
 namespace hemlockspar {
 
 /// Serves JSON-RPC 2.0 over TCP, one call a line. Lines that are too long end
@@ -16,21 +12,18 @@
   /// \p Dispatcher must outlive the server.
   RpcServer(boost::asio::io_context &Io, RpcDispatcher &Dispatcher);
 
-  absl::Status listen(const Address &At);
+  absl::Status listen(const Address &At) { return this->Incoming.listen(At); }
 
   /// Bytes of answers sent and of calls received.
   std::uint64_t bytesSent() const { return this->Sent; }
   std::uint64_t bytesReceived() const { return this->Received; }
 
 private:
-  void acceptLoop(const boost::asio::yield_context &Yield);
   void serve(boost::asio::ip::tcp::socket Socket,
              const boost::asio::yield_context &Yield);
 
-  boost::asio::io_context &Io;
   RpcDispatcher &Dispatcher;
-  boost::asio::ip::tcp::acceptor Acceptor;
-  std::size_t Connections = 0;
+  Acceptor Incoming;
   std::uint64_t Sent = 0;
   std::uint64_t Received = 0;
 };
--- a/stand_ins/FaultProxy.cpp
+++ b/stand_ins/FaultProxy.cpp
@@ -1,7 +1,6 @@
 #include "stand_ins/FaultProxy.h"
 
 #include "core/Json.h"
-#include "net/Listen.h"
 
 #include <array>
 #include <boost/asio/detached.hpp>
@@ -15,6 +14,7 @@
 namespace {
 
 constexpr std::size_t BufferBytes = 16384;
+constexpr std::size_t MaxConnections = 4096;
 
 bool flagOf(const Json::Value &Fields, const char *Name) {
   return Fields[Name].isBool() && Fields[Name].asBool();
@@ -51,40 +51,17 @@
 }
 
 absl::Status FaultProxy::forward(const Address &Listen, const Address &Target) {
-  auto &Acceptor = this->Acceptors.emplace_back(this->Io);
-  absl::Status Listening = listenAt(Acceptor, Listen);
-  if (Listening.ok()) {
-    asio::spawn(
-        this->Io,
-        [this, &Acceptor, Target](const asio::yield_context &Yield) {
-          this->acceptLoop(Acceptor, Target, Yield);
-        },
-        asio::detached);
-  }
-  return Listening;
-}
-
-void FaultProxy::acceptLoop(asio::ip::tcp::acceptor &Acceptor,
-                            const Address &Target,
-                            const asio::yield_context &Yield) {
-  while (true) {
-    error_code Error;
-    Socket Caller(this->Io);
-    Acceptor.async_accept(Caller, Yield[Error]);
-    if (Error) {
-      return;
-    }
-
-    auto Through = std::make_shared<Pipe>(std::move(Caller), this->Io, Target);
-    Through->From =
-        Through->Caller.remote_endpoint(Error).address().to_string();
-    asio::spawn(
-        this->Io,
-        [this, Through](const asio::yield_context &Later) {
-          this->open(Through, Later);
-        },
-        asio::detached);
-  }
+  auto &Accepting = this->Incoming.emplace_back(
+      this->Io, MaxConnections,
+      [this, Target](Socket Caller, const asio::yield_context &Yield) {
+        error_code Error;
+        auto Through =
+            std::make_shared<Pipe>(std::move(Caller), this->Io, Target);
+        Through->From =
+            Through->Caller.remote_endpoint(Error).address().to_string();
+        this->open(Through, Yield);
+      });
+  return Accepting.listen(Listen);
 }
 
 void FaultProxy::open(const std::shared_ptr<Pipe> &Through,
@@ -102,7 +79,6 @@
     return;
   }
 
-  Through->Caller.set_option(asio::ip::tcp::no_delay(true), Error);
   Through->Server.set_option(asio::ip::tcp::no_delay(true), Error);
   this->Open.insert(Through);
   asio::spawn(
--- a/stand_ins/FaultProxy.h
+++ b/stand_ins/FaultProxy.h
@@ -40,9 +40,6 @@
   using Socket = boost::asio::ip::tcp::socket;
   struct Pipe;
 
-  void acceptLoop(boost::asio::ip::tcp::acceptor &Acceptor,
-                  const Address &Target,
-                  const boost::asio::yield_context &Yield);
   void open(const std::shared_ptr<Pipe> &Through,
             const boost::asio::yield_context &Yield);
   void copy(const std::shared_ptr<Pipe> &Through, bool Out,
@@ -53,7 +50,7 @@
 
   boost::asio::io_context &Io;
   HttpServer Control;
-  std::list<boost::asio::ip::tcp::acceptor> Acceptors;
+  std::list<Acceptor> Incoming;
   std::map<std::pair<std::string, std::string>, LinkFaults> Links;
   std::set<std::shared_ptr<Pipe>> Open;
 };
--- a/stand_ins/LoadRun.cpp
+++ b/stand_ins/LoadRun.cpp
@@ -3,6 +3,7 @@
 #include "core/Json.h"
 #include "daemon/Answers.h"
 #include "daemon/RequestHeaders.h"
+#include "net/Event.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/detached.hpp>
@@ -197,9 +198,7 @@
       return;
     }
 
-    boost::system::error_code Ignored;
-    asio::steady_timer Pause(this->Io, RetryPause);
-    Pause.async_wait(Yield[Ignored]);
+    sleepFor(this->Io, RetryPause, Yield);
   }
 }
 
--- a/stand_ins/table_stand_in.cpp
+++ b/stand_ins/table_stand_in.cpp
@@ -1,12 +1,12 @@
 #include "core/Clock.h"
 #include "core/Log.h"
+#include "net/Event.h"
 #include "net/HttpServer.h"
 #include "platform/MemoryTable.h"
 #include "platform/TableCodec.h"
 #include "stand_ins/FaultSwitch.h"
 
 #include <absl/strings/numbers.h>
-#include <boost/asio/steady_timer.hpp>
 #include <gflags/gflags.h>
 #include <iostream>
 
@@ -113,12 +113,9 @@
   }
 
   void sleep(std::chrono::milliseconds Span, const asio::yield_context &Yield) {
-    if (Span.count() == 0) {
-      return;
+    if (Span.count() > 0) {
+      sleepFor(this->Io, Span, Yield);
     }
-    boost::system::error_code Ignored;
-    asio::steady_timer Timer(this->Io, Span);
-    Timer.async_wait(Yield[Ignored]);
   }
 
   asio::io_context &Io;
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -25,6 +25,15 @@
 token-not-raised|coordination/Transfers.cpp|member_property_test|s/Receiver.Slots\[Keyspace\].add\(\{Grant.Slot, Grant.Token \+ 1\}\);/Receiver.Slots[Keyspace].add({Grant.Slot, Grant.Token - 1});/
 takeover-keeps-life|coordination/Transfers.cpp|member_property_test|s/Ended.Life \+= 1;//
 quiet-table-lease-not-awaited|coordination/Recovery.cpp|member_property_test|s/return VersionVoted && PreviousVoted && \(QuietRow \|\| !NeedsQuietRow\);/return VersionVoted && PreviousVoted;/
+younger-owner-runs-repeat|coordination/OutcomeLedger.cpp|coordination_test|s/bool BeforeMemory = Request.FirstSentAt &&/bool BeforeMemory = false \&\& Request.FirstSentAt \&\&/
+frozen-slot-lets-through|coordination/SlotGate.cpp|coordination_test|s/if \(this->isFrozen\(Keyspace, Slot\)\)/if (false)/
+repeat-runs-again|daemon/OwnerPath.cpp|request_test|s/if \(Routed.Idempotent\) \{\s+return std::nullopt;/if (true) {\n    return std::nullopt;/
+ambiguous-said-not-run|daemon/OwnerPath.cpp|request_test|s/return unknown\(AnswerReason::ConnectionBroken, Exchange.Error\);/return notRun(AnswerReason::ConnectionBroken, Exchange.Error);/
+caller-gone-not-cancelled|net/HttpClient.cpp|request_test|s/Raw->Peer.close\(\);//
+operators-overwrite|daemon/ApiServer.cpp|resource_test|s/Transaction.Conditions.push_back\(\{Key, Wanted.Version\}\);//
+lost-reply-not-settled|daemon/ApiServer.cpp|resource_test|s/if \(Result.Outcome == CommitOutcome::Unknown\) \{/if (false) {/
+drain-hands-nothing-over|coordination/Mover.h|failure_test|s/void beginDrain\(\) \{ this->Draining = true; \}/void beginDrain() {}/
+lease-not-checked-at-dispatch|daemon/OwnerPath.cpp|failure_test|s/return Now \+ DispatchMargin < this->LeaseUntil;/(void)Now; return true;/; s/std::to_string\(Until\)\)/std::to_string(Until + 3600000000000LL))/
 no-campaigns|coordination/Recovery.cpp|member_property_test|s/if \(Now < Attempt.StartAt \|\| Attempt.CommitOutstanding\)/if (true)/
 '
 
@@ -47,16 +56,24 @@
     continue
   fi
 
-  if ! ninja -C "$Work/build" "$Program" >"$Work/log" 2>&1; then
+  Targets="$Program"
+  case "$Program" in
+  request_test | resource_test | failure_test)
+    Targets="$Program hemlockspard table_stand_in backend_stand_in fault_proxy"
+    ;;
+  esac
+
+  # shellcheck disable=SC2086
+  if ! ninja -C "$Work/build" $Targets >"$Work/log" 2>&1; then
     echo "$Name: does not build"
     tail -5 "$Work/log"
     Survived=1
-  elif RC_PARAMS="seed=20261204 max_success=$Runs noshrink=1" \
+  elif HEMLOCKSPAR_BIN="$Work/build" RC_PARAMS="seed=20261204 max_success=$Runs noshrink=1" \
     "$Work/build/tests/$Program" --timeout 600 >"$Work/log" 2>&1; then
     echo "$Name: SURVIVED"
     Survived=1
   else
-    echo "$Name: caught: $(grep -m1 -E 'has two serving|fell|RC_FAIL|RC_ASSERT' "$Work/log")"
+    echo "$Name: caught: $(grep -m1 -E 'two serving owners|fell|RC_FAIL|RC_ASSERT|The expression' "$Work/log")"
   fi
   cp "$Root/$File" "$Work/tree/$File"
 done <<<"$Mutants"
