net, daemon: deep nesting refused before it is read; pushes encoded once and bounded

Cause 1: one line of JSON nested 500 deep on the control port ended a daemon: the library reads by recursion, 1000 levels deep, on the 128 KB stack of a coroutine. Seen by hand; text is now scanned for depth first (limit 32). Before: connection reset, process gone. After: an error answer, process alive.

Cause 2: a push to all peers encoded its rows once for each and ran a coroutine for each at once, whose stacks stayed in the heap. Ruled out: idle connections (closed after 5 s, no change by itself).

--- a/daemon/ControlPlane.cpp
+++ b/daemon/ControlPlane.cpp
@@ -6,6 +6,8 @@
 #include "daemon/Resources.h"
 #include "platform/TableCodec.h"
 
+#include <algorithm>
+
 namespace hemlockspar {
 
 namespace asio = boost::asio;
@@ -16,6 +18,9 @@
 constexpr auto PeerTimeout = std::chrono::milliseconds(400);
 constexpr auto RowsTimeout = std::chrono::milliseconds(2000);
 
+/// Pushes under way at once; each takes a stack while it lasts.
+constexpr std::size_t MaxPushes = 32;
+
 /// Renewals keep the connections to witnesses in use.
 constexpr auto PeerIdleTime = std::chrono::seconds(5);
 constexpr auto IdleCheckInterval = std::chrono::seconds(1);
@@ -336,12 +341,45 @@
 }
 
 void ControlPlane::pushRows(const RowBatch &Batch) {
-  Json::Value Params = batchToJson(Batch);
+  auto Text = std::make_shared<const std::string>(
+      RpcClientCodec::encodeCall("push", batchToJson(Batch)));
+
+  // Those whose own rows changed are told first: they are the new owners.
+  auto Concerned = [&](const InstanceId &Id) {
+    return std::any_of(
+        Batch.Rows.begin(), Batch.Rows.end(),
+        [&](const TableRow &Row) { return Row.Key == holdingKey(Id); });
+  };
 
   for (const auto &[Id, Known] : this->Self.directory().instances()) {
-    if (Id != this->Config.Instance && Known.live()) {
-      this->callPeer(Id, "push", Params, [](const RpcAnswer &) {});
+    if (Id == this->Config.Instance || !Known.live()) {
+      continue;
+    }
+    if (Concerned(Id)) {
+      this->Pushes.push_front({Id, Text});
+    } else {
+      this->Pushes.push_back({Id, Text});
+    }
+  }
+  this->sendPushes();
+}
+
+void ControlPlane::sendPushes() {
+  while (!this->Pushes.empty() && this->PushesOutstanding < MaxPushes) {
+    Push Next = std::move(this->Pushes.front());
+    this->Pushes.pop_front();
+
+    auto At = this->controlAddressOf(Next.Peer);
+    if (!At) {
+      continue;
     }
+
+    ++this->PushesOutstanding;
+    this->Peers.callEncoded(*At, Next.Text, PeerTimeout,
+                            [this](const RpcAnswer &) {
+                              --this->PushesOutstanding;
+                              this->sendPushes();
+                            });
   }
 }
 
--- a/daemon/ControlPlane.h
+++ b/daemon/ControlPlane.h
@@ -75,6 +75,9 @@
   void tellRequestThread(ToRequests &&Message);
   void flushToRequestThread();
 
+  /// Sends waiting pushes, as many at once as are allowed.
+  void sendPushes();
+
   void bindCalls();
   void scheduleTick();
   void tick();
@@ -100,7 +103,15 @@
   BackendMonitor Backend;
   boost::asio::steady_timer Ticker;
 
+  /// Rows on their way to one peer.
+  struct Push {
+    InstanceId Peer;
+    std::shared_ptr<const std::string> Text;
+  };
+
   std::deque<ToRequests> Unsent;
+  std::deque<Push> Pushes;
+  std::size_t PushesOutstanding = 0;
   OwnLoad Load;
   TimePoint NextIdleCheckAt;
   std::uint64_t PublishedChanges = 0;
--- a/net/RpcClient.cpp
+++ b/net/RpcClient.cpp
@@ -41,6 +41,14 @@
 void RpcClient::call(const Address &Peer, const std::string &Method,
                      const Json::Value &Params,
                      std::chrono::milliseconds Timeout, Done OnDone) {
+  auto Text = std::make_shared<const std::string>(
+      RpcClientCodec::encodeCall(Method, Params));
+  this->callEncoded(Peer, std::move(Text), Timeout, std::move(OnDone));
+}
+
+void RpcClient::callEncoded(const Address &Peer,
+                            std::shared_ptr<const std::string> Text,
+                            std::chrono::milliseconds Timeout, Done OnDone) {
   if (this->Outstanding[Peer] >= MaxOutstanding) {
     asio::post(this->Io, [OnDone = std::move(OnDone)] {
       OnDone(failedCall("too many calls outstanding"));
@@ -49,11 +57,6 @@
   }
 
   ++this->Outstanding[Peer];
-  std::string Text = RpcClientCodec::encodeCall(Method, Params);
-  if (Text.empty() || Text.back() != '\n') {
-    Text.push_back('\n');
-  }
-
   asio::spawn(
       this->Io,
       [this, Peer, Text = std::move(Text), Timeout,
@@ -68,7 +71,7 @@
           }
         });
 
-        RpcAnswer Answer = this->run(Through, Peer, Text, Yield);
+        RpcAnswer Answer = this->run(Through, Peer, *Text, Yield);
 
         Through->Timer.cancel();
         --this->Outstanding[Peer];
--- a/net/RpcClient.h
+++ b/net/RpcClient.h
@@ -31,6 +31,11 @@
             const Json::Value &Params, std::chrono::milliseconds Timeout,
             Done OnDone);
 
+  /// As call, with a text that RpcClientCodec has encoded; for a call that
+  /// goes to many peers.
+  void callEncoded(const Address &Peer, std::shared_ptr<const std::string> Text,
+                   std::chrono::milliseconds Timeout, Done OnDone);
+
   /// Closes connections that have carried no call for \p Age.
   void closeIdle(Duration Age);
 
--- a/net/RpcCodec.cpp
+++ b/net/RpcCodec.cpp
@@ -39,6 +39,37 @@
   const std::string &Answer;
 };
 
+constexpr int MaxDepth = 32;
+
+/// Whether brackets nest deeper than any message here does. The library reads
+/// by recursion, 1000 levels deep, which the stack of a coroutine does not
+/// bear.
+bool nestsTooDeep(const std::string &Text) {
+  int Depth = 0;
+  bool InString = false;
+
+  for (std::size_t Index = 0; Index < Text.size(); ++Index) {
+    char Character = Text[Index];
+    if (InString) {
+      Index += Character == '\\';
+      InString = Character != '"';
+      continue;
+    }
+
+    InString = Character == '"';
+    Depth += Character == '[' || Character == '{';
+    Depth -= Character == ']' || Character == '}';
+    if (Depth > MaxDepth) {
+      return true;
+    }
+  }
+  return false;
+}
+
+const char *const MalformedAnswer =
+    "{\"jsonrpc\":\"2.0\",\"id\":null,\"error\":{\"code\":-32600,"
+    "\"message\":\"request is not well formed\"}}";
+
 } // namespace
 
 std::string RpcClientCodec::encodeCall(const std::string &Method,
@@ -53,6 +84,10 @@
     // Thrown by the connector, once it has the text.
   }
 
+  // One line, ended: that is how calls travel.
+  if (Connector.Text.empty() || Connector.Text.back() != '\n') {
+    Connector.Text.push_back('\n');
+  }
   return Connector.Text;
 }
 
@@ -61,6 +96,11 @@
   jsonrpc::Client Client(Connector, jsonrpc::JSONRPC_CLIENT_V2);
   RpcAnswer Answer;
 
+  if (nestsTooDeep(Text)) {
+    Answer.Error = "answer nests too deep";
+    return Answer;
+  }
+
   try {
     Client.CallMethod("", Json::Value(Json::objectValue), Answer.Result);
     Answer.Succeeded = true;
@@ -115,11 +155,14 @@
 std::string RpcDispatcher::dispatch(const std::string &Text) {
   std::string Answer;
 
+  if (nestsTooDeep(Text)) {
+    return MalformedAnswer;
+  }
+
   try {
     this->Bound->Protocol->HandleRequest(Text, Answer);
   } catch (const Json::Exception &Exception) {
-    Answer = "{\"jsonrpc\":\"2.0\",\"id\":null,\"error\":{\"code\":-32600,"
-             "\"message\":\"request is not well formed\"}}";
+    Answer = MalformedAnswer;
   }
 
   while (!Answer.empty() && Answer.back() == '\n') {
--- a/net/RpcCodec.h
+++ b/net/RpcCodec.h
@@ -21,7 +21,7 @@
 /// so that the bytes can travel asynchronously.
 class RpcClientCodec {
 public:
-  /// Text of a call of \p Method; empty when it cannot be written.
+  /// Text of a call of \p Method: one line and its end.
   static std::string encodeCall(const std::string &Method,
                                 const Json::Value &Params);
 
--- a/tests/net/RpcCodecTest.cpp
+++ b/tests/net/RpcCodecTest.cpp
@@ -50,3 +50,17 @@
   });
   cr_assert(Holds);
 }
+
+/// Nesting that the library would follow down the stack is refused.
+Test(RpcCodec, DeepNesting) {
+  std::string Deep = std::string(900, '[') + std::string(900, ']');
+  std::string Call =
+      R"({"jsonrpc":"2.0","id":1,"method":"echo","params":{"a":)" + Deep + "}}";
+  cr_assert(echo().dispatch(Call).find("not well formed") != std::string::npos);
+  cr_assert_not(RpcClientCodec::decodeAnswer(Deep).Succeeded);
+
+  std::string Quoted =
+      R"({"jsonrpc":"2.0","id":1,"method":"echo","params":{"a":")" +
+      std::string(900, '[') + R"(\""}})";
+  cr_assert(echo().dispatch(Quoted).find("result") != std::string::npos);
+}
