--- a/tests/coordination/LeaseTest.cpp
+++ b/tests/coordination/LeaseTest.cpp
@@ -13,7 +13,7 @@
 
 TimePoint at(int Ms) { return TimePoint(milliseconds(100000 + Ms)); }
 
-LeaseRow rowWith(std::vector<std::string> Witnesses) {
+LeaseRow rowWith(const std::vector<std::string> &Witnesses) {
   LeaseRow Row;
   Row.Incarnation = 1;
   Row.Life = 1;
--- a/tests/coordination/OutcomeLedgerTest.cpp
+++ b/tests/coordination/OutcomeLedgerTest.cpp
@@ -81,7 +81,8 @@
       if (Ending == 1) {
         Ledger.onUnknown(Key);
       } else {
-        Ledger.onAnswered(Key, {200, "", std::string(10 * Ending, 'x')});
+        Ledger.onAnswered(
+            Key, {200, "", std::string(std::size_t(Ending) * 10, 'x')});
       }
     }
   });
--- a/tests/core/BoundedRingTest.cpp
+++ b/tests/core/BoundedRingTest.cpp
@@ -14,7 +14,7 @@
 
   std::thread Sender([&] {
     for (int Item = 0; Item < 1000; ++Item) {
-      Ring.push(std::move(Item));
+      Ring.push(int(Item));
     }
   });
   Sender.join();
--- a/tests/integration/Mesh.cpp
+++ b/tests/integration/Mesh.cpp
@@ -45,20 +45,22 @@
 
 } // namespace
 
-Mesh::Mesh(int Number, MeshOptions Options) : Number(Number), Options(Options) {
+Mesh::Mesh(int Number, MeshOptions Chosen)
+    : Number(Number), Options(std::move(Chosen)) {
   std::string Pattern =
       (std::filesystem::temp_directory_path() / "mesh-XXXXXX").string();
   this->Directory = mkdtemp(Pattern.data());
 
-  for (int Index = 0; Index < Options.Instances; ++Index) {
-    int Region = Index * Options.Regions / Options.Instances;
+  for (int Index = 0; Index < this->Options.Instances; ++Index) {
+    int Region = Index * this->Options.Regions / this->Options.Instances;
     MeshInstance Instance;
     Instance.Name = absl::StrCat("i", Index);
     Instance.Region = absl::StrCat("r", Region);
     Instance.DataCenter = absl::StrCat("r", Region, "-", Index % 2);
-    if (Options.DataCenters > 0) {
-      int DataCenter = Index % Options.DataCenters;
-      Instance.Region = DataCenter * 2 < Options.DataCenters - 1 ? "r0" : "r1";
+    if (this->Options.DataCenters > 0) {
+      int DataCenter = Index % this->Options.DataCenters;
+      Instance.Region =
+          DataCenter * 2 < this->Options.DataCenters - 1 ? "r0" : "r1";
       Instance.DataCenter = absl::StrCat("dc", DataCenter);
     }
     Instance.Host = absl::StrCat("127.", Number, ".1.", Index + 1);
