tests, stand_ins: the stand-in checks its grant again when it makes its effect

The stand-in checked its grant only at the start of a run; a fencing token is checked where the effect is made. After: checked again at the end; such a run is recorded as lapsed, has no effect and is refused.

--- a/stand_ins/BackendServer.cpp
+++ b/stand_ins/BackendServer.cpp
@@ -129,6 +129,13 @@
   TimePoint Began = BootClock::now();
   bool Finished = this->work(this->workFor(Request), Watch, Yield);
   this->endTurn();
+
+  // The token is checked again when the effect is made: a server that stood
+  // still in the middle of a run must not make it under a lapsed lease.
+  if (auto Refusal = this->checkGrant(Given)) {
+    this->record(Request, Given, Began, "lapsed");
+    return this->refuse(*Refusal);
+  }
   this->record(Request, Given, Began, Finished ? "done" : "cancelled");
 
   std::string Path = pathOf(
--- a/tests/integration/RunChecker.cpp
+++ b/tests/integration/RunChecker.cpp
@@ -26,6 +26,11 @@
 
 RunChecker::RunChecker(std::vector<Json::Value> Recorded)
     : Runs(std::move(Recorded)) {
+  // A run whose lease lapsed before its effect was made had none.
+  std::erase_if(this->Runs, [](const Json::Value &Run) {
+    return getString(Run, "result") == "lapsed";
+  });
+
   std::sort(this->Runs.begin(), this->Runs.end(),
             [](const Json::Value &Left, const Json::Value &Right) {
               return Left["began"].asInt64() < Right["began"].asInt64();
