--- a/tools/check.sh
+++ b/tools/check.sh
@@ -9,6 +9,13 @@
   mapfile -t Red < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
 fi
 
+# A test that fails ends without its destructors; what it started from this
+# build is ended here.
+end_leftovers() {
+  pgrep -f "^$PWD/$Build/(stand_ins|daemon)/" | xargs -r kill -9
+}
+trap end_leftovers EXIT
+
 Failed=0
 ctest --test-dir "$Build" --output-on-failure -j 4 | tee "$Build/ctest.log"
 
