coordination: a handover begins only once the table has just answered

Cause: slots were frozen before anybody knew whether the table still answered. A write that it does not answer may have run, so the slots stay frozen for as long as the outage lasts: keys without an owner while their owner lives. The table is read every 5 s when all is quiet, so a move wanted in the first seconds of an outage ran into this.

Weighed: thawing on an unknown outcome (two owners; mutant unknown-handover-thawed); a release message from giver to receiver after the write, which would close the window altogether but adds a state in which a row names an owner that may not serve yet; asking the table just before freezing, taken: one read of the changes a move, and the window shrinks from 5 s to the time between two answers, some milliseconds.

First try compared times (hasReadSince): a tick at the same instant had read before the request and the move waited in vain for 2 s. Reads are numbered now.

The faults MoveSlots of the property tests mostly hit instances that own nothing; they go to the next one that owns slots.

Before: Member.NoSlotHeldBackInTableOutage fails (mutant handover-without-table-check). After: 60 of 60 runs.

--- a/coordination/Mover.cpp
+++ b/coordination/Mover.cpp
@@ -26,7 +26,7 @@
     return false;
   }
 
-  this->freeze(Slots, {Receiver}, Now);
+  this->begin(Slots, {Receiver}, Now);
   return true;
 }
 
@@ -35,6 +35,9 @@
   case MovePhase::Idle:
     this->startNext(Now);
     return;
+  case MovePhase::Checking:
+    this->checkTable(Now);
+    return;
   case MovePhase::Freezing:
     if (this->Keeper.membership() != Membership::Inside) {
       this->finish(PlacementEvent::HandoverFailed, "lease lost");
@@ -105,7 +108,7 @@
     To.resize(Transfers::MaxReceivers);
   }
 
-  this->freeze(Self->Holding.Slots, To, Now);
+  this->begin(Self->Holding.Slots, To, Now);
   return true;
 }
 
@@ -185,22 +188,49 @@
                : 0;
 }
 
-void Mover::freeze(const SlotsByKeyspace &Slots, std::vector<InstanceId> To,
-                   TimePoint Now) {
+void Mover::begin(const SlotsByKeyspace &Slots, std::vector<InstanceId> To,
+                  TimePoint Now) {
+  this->Phase = MovePhase::Checking;
+  this->Receivers = std::move(To);
+  this->Moving = Slots;
+  this->MovingCount = countSlots(Slots);
+  this->CheckStartedAt = Now;
+  this->CheckingRead = this->Context.Table.requestRead();
+}
+
+void Mover::checkTable(TimePoint Now) {
+  // A write that the table does not answer leaves frozen slots without an
+  // owner for as long as the outage lasts, so the table must have answered
+  // just now.
+  if (this->Context.Table.hasCompleted(this->CheckingRead)) {
+    this->freeze(Now);
+    return;
+  }
+
+  bool TimedOut = Now - this->CheckStartedAt > this->Context.Times.TableTimeout;
+  if (TimedOut || !this->Context.Table.healthy()) {
+    this->Context.Actions.decided(
+        {PlacementEvent::HandoverFailed,
+         this->Receivers.empty() ? "pool" : this->Receivers.front(),
+         this->MovingCount, "table does not answer"});
+    this->RetryAt = Now + this->Context.retryDelay();
+    this->finish(PlacementEvent::HandoverFailed, "");
+  }
+}
+
+void Mover::freeze(TimePoint Now) {
   bool WaitForBusy =
       this->BusySince &&
       Now - *this->BusySince > this->Context.Times.BusySlotPatience;
 
   this->Phase = MovePhase::Freezing;
   this->Handover = ++this->LastHandover;
-  this->Receivers = std::move(To);
-  this->MovingCount = countSlots(Slots);
 
   this->Context.Actions.decided(
       {PlacementEvent::HandoverStarted,
        this->Receivers.empty() ? "pool" : this->Receivers.front(),
        this->MovingCount, WaitForBusy ? "wait for busy slots" : ""});
-  this->Context.Actions.freezeSlots(this->Handover, Slots, WaitForBusy);
+  this->Context.Actions.freezeSlots(this->Handover, this->Moving, WaitForBusy);
 }
 
 void Mover::onSlotsIdle(std::uint64_t Handover, const SlotsByKeyspace &Frozen,
@@ -301,6 +331,7 @@
   this->Phase = MovePhase::Idle;
   this->Handover = 0;
   this->Receivers.clear();
+  this->Moving.clear();
 }
 
 } // namespace hemlockspar
--- a/coordination/Mover.h
+++ b/coordination/Mover.h
@@ -47,7 +47,7 @@
   bool idle() const { return this->Phase == MovePhase::Idle; }
 
 private:
-  enum class MovePhase { Idle, Freezing, Committing, Unresolved };
+  enum class MovePhase { Idle, Checking, Freezing, Committing, Unresolved };
 
   /// A key space of this instance's service with unowned slots.
   struct OpenPool {
@@ -60,8 +60,10 @@
   bool updateOwnRow(TimePoint Now);
   bool giveUpSlots(TimePoint Now);
   bool claimFromPool(TimePoint Now);
-  void freeze(const SlotsByKeyspace &Slots, std::vector<InstanceId> To,
-              TimePoint Now);
+  void begin(const SlotsByKeyspace &Slots, std::vector<InstanceId> To,
+             TimePoint Now);
+  void checkTable(TimePoint Now);
+  void freeze(TimePoint Now);
   void commit(const TableTransaction &Transaction, TimePoint Now);
   void onCommitted(const TableTransaction &Transaction,
                    const CommitResult &Result, TimePoint Now);
@@ -83,7 +85,10 @@
   /// The handover under way; zero when the change is of another kind.
   std::uint64_t Handover = 0;
   std::vector<InstanceId> Receivers;
+  SlotsByKeyspace Moving;
   std::size_t MovingCount = 0;
+  TimePoint CheckStartedAt;
+  std::uint64_t CheckingRead = 0;
 
   /// Version of the own holding row that the outstanding write replaces.
   RowVersion WrittenAgainst = 0;
--- a/coordination/TableCaller.cpp
+++ b/coordination/TableCaller.cpp
@@ -44,6 +44,7 @@
     return;
   }
 
+  this->CompletedRead = this->LastRead;
   this->CompletedReadStartedAt = this->ReadStartedAt;
   this->Cache.apply(*Batch);
 }
@@ -59,9 +60,15 @@
   this->ReadOutstanding = true;
   this->ReadWanted = false;
   this->ReadStartedAt = Now;
+  ++this->LastRead;
   this->Actions.readTable(this->Cache.completeVersion());
 }
 
+std::uint64_t TableCaller::requestRead() {
+  this->ReadWanted = true;
+  return this->LastRead + 1;
+}
+
 bool TableCaller::hasReadSince(TimePoint Moment) const {
   return this->CompletedReadStartedAt && *this->CompletedReadStartedAt > Moment;
 }
--- a/coordination/TableCaller.h
+++ b/coordination/TableCaller.h
@@ -37,8 +37,14 @@
   void onCommitResult(std::uint64_t Call, const CommitResult &Result,
                       TimePoint Now);
 
-  /// Asks for a read of the table as soon as none is outstanding.
-  void requestRead() { this->ReadWanted = true; }
+  /// Asks for a read of the table as soon as none is outstanding. Returns its
+  /// number, for hasCompleted.
+  std::uint64_t requestRead();
+
+  /// Whether read \p Number or a later one has been answered.
+  bool hasCompleted(std::uint64_t Number) const {
+    return this->CompletedRead >= Number;
+  }
 
   /// \p Batch is nothing when the read failed.
   void onRead(const std::optional<RowBatch> &Batch, TimePoint Now);
@@ -62,6 +68,8 @@
 
   bool ReadWanted = true;
   bool ReadOutstanding = false;
+  std::uint64_t LastRead = 0;
+  std::uint64_t CompletedRead = 0;
   TimePoint ReadStartedAt;
   TimePoint NextReadAt;
   std::optional<TimePoint> CompletedReadStartedAt;
--- a/tests/coordination/MemberPropertyTest.cpp
+++ b/tests/coordination/MemberPropertyTest.cpp
@@ -116,6 +116,39 @@
   cr_assert(Holds);
 }
 
+/// A move that is wanted once the table is down, before anybody has noticed
+/// that, holds back no slot: the outage would keep it held back.
+Test(Member, NoSlotHeldBackInTableOutage) {
+  bool Holds = rc::check("moves do not begin in a table outage", [] {
+    auto Seed = *rc::gen::arbitrary<std::uint32_t>();
+    auto Owner = *rc::gen::inRange(0, MemberWorld::MostMembers);
+    auto Receiver = *rc::gen::inRange(1, MemberWorld::MostMembers);
+    auto Delay = *rc::gen::inRange(1, 8000);
+
+    Fault Outage;
+    Outage.Kind = FaultKind::TableDown;
+    Outage.At = seconds(10);
+    Outage.Lasting = seconds(60);
+
+    Fault Move;
+    Move.Kind = FaultKind::MoveSlots;
+    Move.Who = Owner;
+    Move.Whom = Owner + Receiver;
+    Move.At = seconds(10) + milliseconds(Delay);
+
+    MemberWorld World(Seed, MemberWorld::MostMembers);
+    World.inject({Outage, Move});
+    World.run(Move.At);
+
+    for (int Second = 19; Second < 70; Second += 10) {
+      World.run(seconds(Second));
+      RC_ASSERT(World.unservedSlots() == 0U);
+    }
+    RC_ASSERT(World.violation() == "");
+  });
+  cr_assert(Holds);
+}
+
 /// A holder replaces a lost witness but hears neither of that nor of anything
 /// else: it goes on with the old witnesses while others already see the new
 /// row. It must not be taken over as long as the old ones vouch for it.
--- a/tests/coordination/MemberWorld.cpp
+++ b/tests/coordination/MemberWorld.cpp
@@ -362,7 +362,18 @@
     Hit.DeafUntil = Until;
     return;
   case FaultKind::MoveSlots:
-    if (Hit.Self && Whom != Who) {
+    this->moveSlots(Who, Whom);
+    return;
+  }
+}
+
+void MemberWorld::moveSlots(int Who, int Whom) {
+  // The first from there on that owns slots, so that few moves come to nothing.
+  for (int Step = 0; Step < this->MemberCount; ++Step) {
+    int Owner = (Who + Step) % this->MemberCount;
+    Node &Hit = *this->Nodes[Owner];
+
+    if (Hit.Self && Whom != Owner && Hit.heldNow()) {
       OwnLoad Heavy;
       Heavy.Status.Utilization = 0.9;
       for (SlotIndex Slot = 0; Slot < SlotCount; ++Slot) {
@@ -374,9 +385,9 @@
       Empty.Capacity = 6;
       Empty.Accepting = true;
       Hit.Self->onLoadReply("n" + std::to_string(Whom), Empty,
-                            this->localTime(Who));
+                            this->localTime(Owner));
+      return;
     }
-    return;
   }
 }
 
--- a/tests/coordination/MemberWorld.h
+++ b/tests/coordination/MemberWorld.h
@@ -88,6 +88,7 @@
   void startNode(int Index);
   void tickLoop(int Index, std::uint64_t Generation);
   void apply(const Fault &Planned);
+  void moveSlots(int Who, int Whom);
   void checkInvariants();
 
   /// Runs \p Action on a node once it is not paused; drops it when the node
