net, daemon: the lease is checked last thing before a request is sent

Between check and write lie the choice of a connection, with a look at the socket, and the way to a new one, which suspends.

Ruled out: the lease itself (on waking the daemon refused every other request), the queue (it checks again after the wait), the takeover delay (the slot's new owner began after lease and longest run had passed).

The moment up to which a request may be sent goes with it and is looked at just before the write.

--- a/daemon/ForwardPath.cpp
+++ b/daemon/ForwardPath.cpp
@@ -40,7 +40,8 @@
       this->Exchanges.end(),
       {Routed.Keyspace, Owner.Slot, Owner.Token, &Watch});
   ExchangeResult Exchange = this->Client.exchange(
-      {Peer.Host, Peer.ForwardPort}, Request, Routed.Deadline, &Watch, Yield);
+      {Peer.Host, Peer.ForwardPort}, Request,
+      {.Deadline = Routed.Deadline, .Watch = &Watch}, Yield);
   this->Exchanges.erase(Entry);
 
   if (OtherRegion) {
@@ -53,6 +54,7 @@
 Answer ForwardPath::judge(ExchangeResult &Exchange) {
   switch (Exchange.Outcome) {
   case ExchangeOutcome::NotSent:
+  case ExchangeOutcome::TooLate:
     return notRun(AnswerReason::PeerUnreachable, Exchange.Error);
   case ExchangeOutcome::Ambiguous:
     return unknown(AnswerReason::ConnectionBroken, Exchange.Error);
--- a/daemon/OwnerPath.cpp
+++ b/daemon/OwnerPath.cpp
@@ -303,8 +303,12 @@
 
   // Losing the backend server and losing the caller both end the exchange.
   this->Dispatched.insert(&Watch);
-  ExchangeResult Exchange = this->Client.exchange(
-      this->Backend.Server, Request, Routed.Deadline, &Watch, Yield);
+  ExchangeResult Exchange =
+      this->Client.exchange(this->Backend.Server, Request,
+                            {.Deadline = Routed.Deadline,
+                             .SendBefore = this->LeaseUntil - DispatchMargin,
+                             .Watch = &Watch},
+                            Yield);
   this->Dispatched.erase(&Watch);
 
   if (Exchange.Outcome == ExchangeOutcome::Ambiguous) {
@@ -321,6 +325,8 @@
   case ExchangeOutcome::NotSent:
     this->OnBackendLost();
     return notRun(AnswerReason::BackendUnavailable, Exchange.Error);
+  case ExchangeOutcome::TooLate:
+    return notRun(AnswerReason::LeaseExpired, "the owner's lease has expired");
   case ExchangeOutcome::Ambiguous:
     return unknown(AnswerReason::ConnectionBroken, Exchange.Error);
   case ExchangeOutcome::Answered:
@@ -400,9 +406,9 @@
   Request.set(http::field::content_type, "application/json");
   Request.body() = writeJson(Body);
 
-  ExchangeResult Exchange =
-      this->Client.exchange(this->Backend.Server, Request,
-                            BootClock::now() + GrantTimeout, nullptr, Yield);
+  ExchangeResult Exchange = this->Client.exchange(
+      this->Backend.Server, Request,
+      {.Deadline = BootClock::now() + GrantTimeout}, Yield);
   if (Exchange.Outcome == ExchangeOutcome::NotSent && this->Backend.Serving) {
     this->OnBackendLost();
   }
--- a/net/Acceptor.cpp
+++ b/net/Acceptor.cpp
@@ -49,6 +49,15 @@
   return absl::OkStatus();
 }
 
+Address Acceptor::localAddress() const {
+  error_code Error;
+  auto Endpoint = this->Listener.local_endpoint(Error);
+  if (Error) {
+    return {};
+  }
+  return {Endpoint.address().to_string(), Endpoint.port()};
+}
+
 void Acceptor::close() {
   error_code Ignored;
   this->Listener.close(Ignored);
--- a/net/Acceptor.h
+++ b/net/Acceptor.h
@@ -27,6 +27,9 @@
   /// Fails when the address cannot be bound.
   absl::Status listen(const Address &At);
 
+  /// Where it listens, with the port that was chosen for port 0.
+  Address localAddress() const;
+
   /// Takes no more connections.
   void close();
 
--- a/net/BlockingClient.cpp
+++ b/net/BlockingClient.cpp
@@ -14,7 +14,7 @@
       this->Io,
       [&](const boost::asio::yield_context &Yield) {
         Result = this->Client.exchange(
-            Server, Request, BootClock::now() + Timeout, nullptr, Yield);
+            Server, Request, {.Deadline = BootClock::now() + Timeout}, Yield);
       },
       boost::asio::detached);
 
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr std::array<const char *, 3> OutcomeNames = {"answered", "not_sent",
-                                                      "ambiguous"};
+constexpr std::array<const char *, 4> OutcomeNames = {"answered", "not_sent",
+                                                      "too_late", "ambiguous"};
 
 Duration remaining(TimePoint Deadline) {
   return std::max(Deadline - BootClock::now(), Duration::zero());
@@ -95,13 +95,14 @@
 }
 
 ExchangeResult HttpClient::exchange(const Address &Server, HttpRequest &Request,
-                                    TimePoint Deadline, CallerWatch *Watch,
+                                    const ExchangeTerms &Terms,
                                     const asio::yield_context &Yield) {
   std::string Error;
+  CallerWatch *Watch = Terms.Watch;
   ConnectionPtr Peer = this->takeIdle(Server);
 
   if (!Peer) {
-    Peer = this->connect(Server, Deadline, Error, Yield);
+    Peer = this->connect(Server, Terms.Deadline, Error, Yield);
   }
   if (!Peer) {
     return failed(ExchangeOutcome::NotSent, Error);
@@ -113,13 +114,15 @@
   if (Watch) {
     Watch->OnGone = [Raw = Peer.get()] { Raw->Peer.close(); };
   }
-  ExchangeResult Result = this->run(*Peer, Request, Deadline, Yield);
+  ExchangeResult Result = this->run(*Peer, Request, Terms, Yield);
   if (Watch) {
     Watch->OnGone = nullptr;
   }
 
-  bool Reusable = Result.Outcome == ExchangeOutcome::Answered &&
-                  Result.Response.keep_alive() && Peer->Buffer.size() == 0;
+  bool Unused = Result.Outcome == ExchangeOutcome::TooLate;
+  bool Reusable =
+      Unused || (Result.Outcome == ExchangeOutcome::Answered &&
+                 Result.Response.keep_alive() && Peer->Buffer.size() == 0);
   if (Reusable) {
     this->giveBack(Server, std::move(Peer));
   }
@@ -127,12 +130,20 @@
 }
 
 ExchangeResult HttpClient::run(Connection &Peer, HttpRequest &Request,
-                               TimePoint Deadline,
+                               const ExchangeTerms &Terms,
                                const asio::yield_context &Yield) {
   error_code Error;
   Request.prepare_payload();
 
-  Peer.Peer.expires_after(remaining(Deadline));
+  Peer.Peer.expires_after(remaining(Terms.Deadline));
+
+  // The process may have been stopped since the caller of this decided to
+  // send; the later this is checked, the less of that is missed.
+  if (BootClock::now() >= Terms.SendBefore) {
+    Peer.Peer.expires_never();
+    return failed(ExchangeOutcome::TooLate, "too late to send");
+  }
+
   http::async_write(Peer.Peer, Request, Yield[Error]);
   if (Error) {
     return failed(ExchangeOutcome::Ambiguous, "send: " + Error.message());
@@ -157,6 +168,12 @@
   return Result;
 }
 
+void HttpClient::forgetOthers(const std::set<Address> &Present) {
+  std::erase_if(this->Idle, [&](const auto &Entry) {
+    return !Present.contains(Entry.first);
+  });
+}
+
 void HttpClient::warm(const Address &Server, std::size_t Count,
                       const asio::yield_context &Yield) {
   std::string Error;
--- a/net/HttpClient.h
+++ b/net/HttpClient.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace hemlockspar {
@@ -21,6 +22,8 @@
   Answered,
   /// No byte of the request can have reached the server.
   NotSent,
+  /// As NotSent, because the last moment to send it had passed.
+  TooLate,
   /// The server may have acted on the request.
   Ambiguous,
 };
@@ -28,6 +31,19 @@
 /// Name of \p Outcome for logs.
 const char *nameOf(ExchangeOutcome Outcome);
 
+/// Bounds of one exchange.
+struct ExchangeTerms {
+  /// The whole answer must be here by then.
+  TimePoint Deadline;
+
+  /// Nothing is sent from this moment on, however long the way to the
+  /// connection took.
+  TimePoint SendBefore = TimePoint::max();
+
+  /// When given and its caller goes, the exchange is cancelled.
+  CallerWatch *Watch = nullptr;
+};
+
 struct ExchangeResult {
   ExchangeOutcome Outcome = ExchangeOutcome::NotSent;
 
@@ -57,10 +73,9 @@
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
 
-  /// Sends \p Request to \p Server and waits for the answer until \p Deadline.
-  /// When \p Watch is given and its caller goes, the exchange is cancelled.
+  /// Sends \p Request to \p Server and waits for the answer within \p Terms.
   ExchangeResult exchange(const Address &Server, HttpRequest &Request,
-                          TimePoint Deadline, CallerWatch *Watch,
+                          const ExchangeTerms &Terms,
                           const boost::asio::yield_context &Yield);
 
   /// Opens connections to \p Server until \p Count are idle.
@@ -70,6 +85,9 @@
   /// Closes the idle connections to \p Server.
   void forget(const Address &Server) { this->Idle.erase(Server); }
 
+  /// Closes the idle connections to all servers but \p Present.
+  void forgetOthers(const std::set<Address> &Present);
+
 private:
   struct Connection {
     explicit Connection(boost::asio::io_context &Io) : Peer(Io) {}
@@ -84,7 +102,8 @@
                         std::string &Error,
                         const boost::asio::yield_context &Yield);
   void giveBack(const Address &Server, ConnectionPtr Peer);
-  ExchangeResult run(Connection &Peer, HttpRequest &Request, TimePoint Deadline,
+  ExchangeResult run(Connection &Peer, HttpRequest &Request,
+                     const ExchangeTerms &Terms,
                      const boost::asio::yield_context &Yield);
 
   boost::asio::io_context &Io;
--- a/net/HttpServer.h
+++ b/net/HttpServer.h
@@ -28,6 +28,9 @@
   /// Starts to listen. Fails when the address cannot be bound.
   absl::Status listen(const Address &At) { return this->Incoming.listen(At); }
 
+  /// Where it listens, with the port that was chosen for port 0.
+  Address localAddress() const { return this->Incoming.localAddress(); }
+
   /// From now on each answer asks its peer to open a new connection.
   void refuseKeepAlive() { this->KeepAlive = false; }
 
--- a/stand_ins/BackendServer.cpp
+++ b/stand_ins/BackendServer.cpp
@@ -61,7 +61,8 @@
     Request.set(http::field::host, this->Options.Daemon.toText());
     Request.body() = writeJson(Body);
     this->Client.exchange(this->Options.Daemon, Request,
-                          BootClock::now() + AnnounceTimeout, nullptr, Yield);
+                          {.Deadline = BootClock::now() + AnnounceTimeout},
+                          Yield);
 
     Timer.expires_after(AnnounceInterval);
     Timer.async_wait(Yield[Error]);
--- a/stand_ins/LoadRun.cpp
+++ b/stand_ins/LoadRun.cpp
@@ -180,8 +180,9 @@
                        PatienceBeyondDeadline;
 
   while (true) {
-    ExchangeResult Exchange = this->Client.exchange(
-        this->Options.Targets[Target], Work.Request, Deadline, nullptr, Yield);
+    ExchangeResult Exchange =
+        this->Client.exchange(this->Options.Targets[Target], Work.Request,
+                              {.Deadline = Deadline}, Yield);
 
     bool Answered = Exchange.Outcome == ExchangeOutcome::Answered;
     bool NotRun = Exchange.Outcome == ExchangeOutcome::NotSent ||
--- /dev/null
+++ b/tests/net/HttpClientTest.cpp
@@ -0,0 +1,67 @@
+#include "net/HttpClient.h"
+#include "net/HttpServer.h"
+
+#include <boost/asio/detached.hpp>
+#include <criterion/criterion.h>
+
+using namespace hemlockspar;
+
+namespace {
+
+/// A server on a free port of the loopback address and a client, both on one
+/// thread.
+struct ClientWorld {
+  ClientWorld()
+      : Server(this->Io, {},
+               [this](HttpRequest &, CallerWatch &,
+                      const boost::asio::yield_context &) {
+                 ++this->Served;
+                 return HttpResponse(http::status::ok, 11);
+               }),
+        Client(this->Io, {}) {
+    cr_assert(this->Server.listen({"127.0.0.1", 0}).ok());
+  }
+
+  ExchangeResult exchange(const ExchangeTerms &Terms) {
+    ExchangeResult Result;
+    HttpRequest Request(http::verb::post, "/", 11);
+    boost::asio::spawn(
+        this->Io,
+        [&](const boost::asio::yield_context &Yield) {
+          Result = this->Client.exchange(this->Server.localAddress(), Request,
+                                         Terms, Yield);
+          this->Io.stop();
+        },
+        boost::asio::detached);
+    this->Io.restart();
+    this->Io.run();
+    return Result;
+  }
+
+  boost::asio::io_context Io;
+  int Served = 0;
+  HttpServer Server;
+  HttpClient Client;
+};
+
+TimePoint inOneMinute() { return BootClock::now() + std::chrono::minutes(1); }
+
+} // namespace
+
+/// A process that was stopped on its way to the connection must not send what
+/// it had decided to send before.
+Test(HttpClient, SendsNothingTooLate) {
+  ClientWorld World;
+  ExchangeTerms Terms = {.Deadline = inOneMinute(),
+                         .SendBefore = BootClock::now()};
+
+  // The first finds no connection, the second an idle one.
+  for (int Time = 0; Time < 2; ++Time) {
+    cr_assert_eq(World.exchange(Terms).Outcome, ExchangeOutcome::TooLate);
+  }
+  cr_assert_eq(World.Served, 0);
+
+  Terms.SendBefore = inOneMinute();
+  cr_assert_eq(World.exchange(Terms).Outcome, ExchangeOutcome::Answered);
+  cr_assert_eq(World.Served, 1);
+}
