daemon: a handover no longer makes the outcome of requests unknown

In a handover the earlier owner lives and answers: what was under way when the freeze began, or was held back by it for up to 10 ms and gets "not owner". Whether the news of the new owner or the answer came first was a race between two connections, and a write that lost it was told unknown.

Exchanges are given up now only when the instance's life was ended by others. Peers close their idle connections to an instance that has left; it waits for that, answers meanwhile with a request to close, and closes what is left after drain_linger_ms.

Before: RoutingTable.InstanceThatLeftIsNotLost fails (mutant handover-loses-exchanges).

--- a/coordination/RoutingTable.cpp
+++ b/coordination/RoutingTable.cpp
@@ -21,6 +21,7 @@
   }
 
   for (const auto &[Id, Instance] : Known.instances()) {
+    Table->Lives[Id] = Instance.Lease.Life;
     if (Instance.live()) {
       Table->addOwner(Id, Instance);
     }
@@ -51,7 +52,8 @@
   HS_FAIL_COND(this->Instances.size() >= KeyspaceRoute::NoOwner);
 
   auto Index = static_cast<std::uint16_t>(this->Instances.size());
-  this->Instances.push_back({Id, Known.Lease.Region, Known.Lease.Addresses});
+  this->Instances.push_back(
+      {Id, Known.Lease.Life, Known.Lease.Region, Known.Lease.Addresses});
 
   for (const auto &[Keyspace, Grants] : Known.Holding.Slots) {
     auto Place = this->Keyspaces.find(Keyspace);
@@ -87,6 +89,11 @@
   return KeyspaceRoute::NoOwner;
 }
 
+bool RoutingTable::hasLost(const InstanceId &Id, std::uint64_t Life) const {
+  auto Latest = this->Lives.find(Id);
+  return Latest != this->Lives.end() && Latest->second > Life;
+}
+
 KeyOwner RoutingTable::findOwner(const KeyspaceRoute &Keyspace,
                                  std::string_view Key) const {
   KeyOwner Result;
--- a/coordination/RoutingTable.h
+++ b/coordination/RoutingTable.h
@@ -22,6 +22,7 @@
 /// Where an instance is reached.
 struct InstanceRoute {
   InstanceId Id;
+  std::uint64_t Life = 0;
   std::string Region;
   Endpoints Addresses;
 };
@@ -50,6 +51,11 @@
   /// Index of \p Id in instances, or KeyspaceRoute::NoOwner.
   std::uint16_t indexOf(const InstanceId &Id) const;
 
+  /// Whether life \p Life of instance \p Id was ended by others: what was
+  /// sent to it may never be answered. An instance that hands its slots over
+  /// or leaves by itself answers first and does not count as lost.
+  bool hasLost(const InstanceId &Id, std::uint64_t Life) const;
+
   const std::vector<InstanceRoute> &instances() const {
     return this->Instances;
   }
@@ -66,6 +72,9 @@
 
   RowVersion Version = 0;
   std::vector<InstanceRoute> Instances;
+
+  /// The latest life of every instance ever heard of.
+  std::unordered_map<InstanceId, std::uint64_t> Lives;
   std::unordered_map<std::string, KeyspaceRoute> Keyspaces;
 };
 
--- a/daemon/ControlPlane.cpp
+++ b/daemon/ControlPlane.cpp
@@ -185,8 +185,8 @@
     this->applyBackend(Now);
   } else if (std::holds_alternative<RefreshWanted>(Message)) {
     this->Self.refresh();
-  } else if (std::holds_alternative<CallersDone>(Message)) {
-    this->CallersServed = true;
+  } else if (std::holds_alternative<ConnectionsDone>(Message)) {
+    this->ConnectionsServed = true;
   }
 }
 
@@ -212,7 +212,7 @@
     this->tellRequestThread(DrainAdvanced{true});
   }
 
-  if (this->CallersServed || BootClock::now() >= this->DrainDeadline) {
+  if (this->ConnectionsServed || BootClock::now() >= this->DrainDeadline) {
     auto Notify = std::move(this->OnLeft);
     this->OnLeft = nullptr;
     Notify();
--- a/daemon/ControlPlane.h
+++ b/daemon/ControlPlane.h
@@ -121,7 +121,7 @@
   TimePoint DrainDeadline;
   bool Draining = false;
   bool LeftAnnounced = false;
-  bool CallersServed = false;
+  bool ConnectionsServed = false;
 };
 
 } // namespace hemlockspar
--- a/daemon/ForwardPath.cpp
+++ b/daemon/ForwardPath.cpp
@@ -37,8 +37,7 @@
   }
 
   auto Entry = this->Exchanges.insert(
-      this->Exchanges.end(),
-      {Routed.Keyspace, Owner.Slot, Owner.Token, &Watch});
+      this->Exchanges.end(), {Owner.Owner->Id, Owner.Owner->Life, &Watch});
   ExchangeResult Exchange = this->Client.exchange(
       {Peer.Host, Peer.ForwardPort}, Request,
       {.Deadline = Routed.Deadline, .Watch = &Watch}, Yield);
@@ -77,10 +76,7 @@
   std::vector<CallerWatch *> Abandoned;
 
   for (const Outstanding &Entry : this->Exchanges) {
-    const KeyspaceRoute *Route = Table.findKeyspace(Entry.Keyspace);
-    bool Later = Route && Entry.Slot < Route->Tokens.size() &&
-                 Route->Tokens[Entry.Slot] > Entry.Token;
-    if (Later) {
+    if (Table.hasLost(Entry.Peer, Entry.Life)) {
       Abandoned.push_back(Entry.Watch);
     }
   }
@@ -90,6 +86,12 @@
       Watch->OnGone();
     }
   }
+
+  std::set<Address> Present;
+  for (const InstanceRoute &Peer : Table.instances()) {
+    Present.insert({Peer.Addresses.Host, Peer.Addresses.ForwardPort});
+  }
+  this->Client.forgetOthers(Present);
 }
 
 } // namespace hemlockspar
--- a/daemon/ForwardPath.h
+++ b/daemon/ForwardPath.h
@@ -22,15 +22,15 @@
               const KeyOwner &Owner, CallerWatch &Watch,
               const boost::asio::yield_context &Yield);
 
-  /// Gives up exchanges with instances that no longer own the key: their
-  /// answer may never come.
+  /// Gives up exchanges with instances that were lost, as their answer may
+  /// never come, and closes the idle connections to those that have left. An
+  /// instance that handed a slot over answers what it was sent before.
   void onRoutingChanged(const RoutingTable &Table);
 
 private:
   struct Outstanding {
-    std::string Keyspace;
-    SlotIndex Slot = 0;
-    FencingToken Token = 0;
+    InstanceId Peer;
+    std::uint64_t Life = 0;
     CallerWatch *Watch = nullptr;
   };
 
--- a/daemon/PlaneMessages.h
+++ b/daemon/PlaneMessages.h
@@ -78,10 +78,10 @@
 /// A peer that was taken for the owner is not; the map may be out of date.
 struct RefreshWanted {};
 
-/// After the instance has left: every caller's request has been answered.
-struct CallersDone {};
+/// After the instance has left: no caller and no peer is connected.
+struct ConnectionsDone {};
 
 using ToControl = std::variant<std::monostate, SlotsFrozen, LoadMeasured,
-                               BackendLost, RefreshWanted, CallersDone>;
+                               BackendLost, RefreshWanted, ConnectionsDone>;
 
 } // namespace hemlockspar
--- a/daemon/RequestPlane.cpp
+++ b/daemon/RequestPlane.cpp
@@ -298,15 +298,28 @@
   this->CallerServer.refuseKeepAlive();
 
   if (Drain.Left) {
-    this->Left = true;
+    this->LeftAt = BootClock::now();
     this->CallerServer.drain();
+    this->PeerServer.refuseKeepAlive();
   }
 }
 
 void RequestPlane::reportDone() {
-  if (this->Left && this->CallerServer.connectionCount() == 0) {
-    this->Left = false;
-    this->ToControlThread.push(CallersDone());
+  if (!this->LeftAt) {
+    return;
+  }
+
+  // Peers close their connections once they hear of the leaving. Closed from
+  // here, a request just under way on one could end without an answer.
+  if (BootClock::now() - *this->LeftAt > this->Config.DrainLinger) {
+    this->PeerServer.drain();
+  }
+
+  bool Done = this->CallerServer.connectionCount() == 0 &&
+              this->PeerServer.connectionCount() == 0;
+  if (Done) {
+    this->LeftAt.reset();
+    this->ToControlThread.push(ConnectionsDone());
   }
 }
 
--- a/daemon/RequestPlane.h
+++ b/daemon/RequestPlane.h
@@ -64,7 +64,8 @@
 
   /// Requests waiting for ownership to settle.
   std::size_t Waiting = 0;
-  bool Left = false;
+  /// When the instance had handed everything over and left.
+  std::optional<TimePoint> LeftAt;
   std::uint64_t LastRequest = 0;
   std::uint64_t RunMark;
 };
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -35,6 +35,7 @@
 drain-hands-nothing-over|coordination/Mover.h|failure_test|s/void beginDrain\(\) \{ this->Draining = true; \}/void beginDrain() {}/
 lease-not-checked-at-dispatch|daemon/OwnerPath.cpp|failure_test|s/return Now \+ DispatchMargin < this->LeaseUntil;/(void)Now; return true;/; s/std::to_string\(Until\)\)/std::to_string(Until + 3600000000000LL))/
 handover-without-table-check|coordination/Mover.cpp|member_property_test|s/if \(this->Context.Table.hasCompleted\(this->CheckingRead\)\)/if (true)/
+handover-loses-exchanges|coordination/RoutingTable.cpp|coordination_test|s/Latest->second > Life/Latest->second >= Life/
 late-request-sent|net/HttpClient.cpp|parts_test|s/if \(BootClock::now\(\) >= Terms.SendBefore\)/if (false)/
 no-campaigns|coordination/Recovery.cpp|member_property_test|s/if \(Now < Attempt.StartAt \|\| Attempt.CommitOutstanding\)/if (true)/
 '
