daemon: calls to peers have a class of their own; mutants clear up

tools/mutants.sh: a caught mutant of an integration test left its processes running, and the next mutant was "caught" because its mesh did not come up (ambiguous-said-not-run, caller-gone-not-cancelled).

--- a/daemon/ControlPlane.cpp
+++ b/daemon/ControlPlane.cpp
@@ -6,7 +6,6 @@
 #include "daemon/Resources.h"
 #include "platform/TableCodec.h"
 
-#include <algorithm>
 
 namespace hemlockspar {
 
@@ -14,15 +13,6 @@
 
 namespace {
 
-/// A renewal that takes longer would come too late to be of use.
-constexpr auto PeerTimeout = std::chrono::milliseconds(400);
-constexpr auto RowsTimeout = std::chrono::milliseconds(2000);
-
-/// Pushes under way at once; each takes a stack while it lasts.
-constexpr std::size_t MaxPushes = 32;
-
-/// Renewals keep the connections to witnesses in use.
-constexpr auto PeerIdleTime = std::chrono::seconds(5);
 constexpr auto IdleCheckInterval = std::chrono::seconds(1);
 
 MemberIdentity identityOf(const Settings &Config, Incarnation Incarnation) {
@@ -54,7 +44,7 @@
       ToRequestThread(ToRequestThread), Server(Io, Dispatcher),
       Self(identityOf(Config, Incarnation), Timing(), *this, Incarnation,
            BootClock::now()),
-      Ticker(Io) {
+      Calls(Io, Peers, Self.directory(), Config.Instance), Ticker(Io) {
   FromRequests.setHandler([this](ToControl &&Message) {
     this->onRequestThread(std::move(Message));
   });
@@ -108,7 +98,7 @@
   // far more memory than the rows.
   if (Now >= this->NextIdleCheckAt) {
     this->NextIdleCheckAt = Now + IdleCheckInterval;
-    this->Peers.closeIdle(PeerIdleTime);
+    this->Calls.closeIdle();
   }
 }
 
@@ -262,7 +252,7 @@
     }
 
     ++Asked->Outstanding;
-    this->callPeer(
+    this->Calls.call(
         Id, "status", Json::Value(Json::objectValue),
         [Note, FinishOne, Id = Id, Version](const RpcAnswer &Answer) {
           bool Has =
@@ -294,104 +284,53 @@
 void ControlPlane::sendRenewal(const InstanceId &Witness,
                                const RenewalRequest &Request) {
   TimePoint SentAt = BootClock::now();
-  this->callPeer(Witness, "renew", toJson(Request),
-                 [this, Witness, Request, SentAt](const RpcAnswer &Answer) {
-                   if (!Answer.Succeeded) {
-                     return;
-                   }
-                   this->Self.onRenewalReply(
-                       Witness, Request, renewalReplyFromJson(Answer.Result),
-                       SentAt);
-                   this->publish();
-                 });
+  this->Calls.call(Witness, "renew", toJson(Request),
+                   [this, Witness, Request, SentAt](const RpcAnswer &Answer) {
+                     if (!Answer.Succeeded) {
+                       return;
+                     }
+                     this->Self.onRenewalReply(
+                         Witness, Request, renewalReplyFromJson(Answer.Result),
+                         SentAt);
+                     this->publish();
+                   });
 }
 
 void ControlPlane::sendVoteRequest(const InstanceId &Witness,
                                    const VoteRequest &Request) {
-  this->callPeer(Witness, "vote", toJson(Request),
-                 [this, Witness, Request](const RpcAnswer &Answer) {
-                   if (Answer.Succeeded) {
-                     this->Self.onVoteReply(Witness, Request,
-                                            voteReplyFromJson(Answer.Result),
-                                            BootClock::now());
-                   }
-                 });
+  this->Calls.call(Witness, "vote", toJson(Request),
+                   [this, Witness, Request](const RpcAnswer &Answer) {
+                     if (Answer.Succeeded) {
+                       this->Self.onVoteReply(Witness, Request,
+                                              voteReplyFromJson(Answer.Result),
+                                              BootClock::now());
+                     }
+                   });
 }
 
 void ControlPlane::readPeer(const InstanceId &Peer, RowVersion Since) {
-  auto At = this->controlAddressOf(Peer);
-  if (!At) {
-    asio::post(this->Io, [this] { this->Self.onPeerRowsFailed(); });
-    return;
-  }
-
-  Json::Value Params;
-  Params["s"] = Json::UInt64(Since);
-  this->Peers.call(
-      *At, "rows", Params, RowsTimeout, [this](const RpcAnswer &Answer) {
-        auto Batch =
-            Answer.Succeeded ? batchFromJson(Answer.Result) : std::nullopt;
-        if (!Batch) {
-          this->Self.onPeerRowsFailed();
-          return;
-        }
-        this->Self.onPeerRows(*Batch, BootClock::now());
-        this->publish();
-      });
-}
-
-void ControlPlane::pushRows(const RowBatch &Batch) {
-  auto Text = std::make_shared<const std::string>(
-      RpcClientCodec::encodeCall("push", batchToJson(Batch)));
-
-  // Those whose own rows changed are told first: they are the new owners.
-  auto Concerned = [&](const InstanceId &Id) {
-    return std::any_of(
-        Batch.Rows.begin(), Batch.Rows.end(),
-        [&](const TableRow &Row) { return Row.Key == holdingKey(Id); });
-  };
-
-  for (const auto &[Id, Known] : this->Self.directory().instances()) {
-    if (Id == this->Config.Instance || !Known.live()) {
-      continue;
-    }
-    if (Concerned(Id)) {
-      this->Pushes.push_front({Id, Text});
-    } else {
-      this->Pushes.push_back({Id, Text});
-    }
-  }
-  this->sendPushes();
+  this->Calls.readRows(Peer, Since,
+                       [this](const std::optional<RowBatch> &Batch) {
+                         if (!Batch) {
+                           this->Self.onPeerRowsFailed();
+                           return;
+                         }
+                         this->Self.onPeerRows(*Batch, BootClock::now());
+                         this->publish();
+                       });
 }
 
-void ControlPlane::sendPushes() {
-  while (!this->Pushes.empty() && this->PushesOutstanding < MaxPushes) {
-    Push Next = std::move(this->Pushes.front());
-    this->Pushes.pop_front();
-
-    auto At = this->controlAddressOf(Next.Peer);
-    if (!At) {
-      continue;
-    }
-
-    ++this->PushesOutstanding;
-    this->Peers.callEncoded(*At, Next.Text, PeerTimeout,
-                            [this](const RpcAnswer &) {
-                              --this->PushesOutstanding;
-                              this->sendPushes();
-                            });
-  }
-}
+void ControlPlane::pushRows(const RowBatch &Batch) { this->Calls.push(Batch); }
 
 void ControlPlane::askLoad(const InstanceId &Peer) {
-  this->callPeer(Peer, "load", Json::Value(Json::objectValue),
-                 [this, Peer](const RpcAnswer &Answer) {
-                   if (Answer.Succeeded) {
-                     this->Self.onLoadReply(Peer,
-                                            loadStatusFromJson(Answer.Result),
-                                            BootClock::now());
-                   }
-                 });
+  this->Calls.call(Peer, "load", Json::Value(Json::objectValue),
+                   [this, Peer](const RpcAnswer &Answer) {
+                     if (Answer.Succeeded) {
+                       this->Self.onLoadReply(Peer,
+                                              loadStatusFromJson(Answer.Result),
+                                              BootClock::now());
+                     }
+                   });
 }
 
 void ControlPlane::freezeSlots(std::uint64_t Handover,
@@ -422,28 +361,6 @@
 
 // Calls between daemons
 
-std::optional<Address>
-ControlPlane::controlAddressOf(const InstanceId &Peer) const {
-  const Directory::Instance *Known = this->Self.directory().find(Peer);
-  if (!Known || Known->LeaseVersion == 0) {
-    return std::nullopt;
-  }
-  const Endpoints &At = Known->Lease.Addresses;
-  return Address{At.Host, At.ControlPort};
-}
-
-void ControlPlane::callPeer(const InstanceId &Peer, const std::string &Method,
-                            const Json::Value &Params, RpcClient::Done OnDone) {
-  auto At = this->controlAddressOf(Peer);
-  if (!At) {
-    asio::post(this->Io, [OnDone = std::move(OnDone)] {
-      OnDone(RpcAnswer{false, {}, "no address known"});
-    });
-    return;
-  }
-  this->Peers.call(*At, Method, Params, PeerTimeout, std::move(OnDone));
-}
-
 void ControlPlane::bindCalls() {
   this->Dispatcher.bind("renew", [this](const Json::Value &Params,
                                         Json::Value &Result) {
--- a/daemon/ControlPlane.h
+++ b/daemon/ControlPlane.h
@@ -4,8 +4,8 @@
 #include "core/BoundedRing.h"
 #include "daemon/BackendMonitor.h"
 #include "daemon/Metrics.h"
+#include "daemon/PeerCalls.h"
 #include "daemon/Settings.h"
-#include "net/RpcClient.h"
 #include "net/RpcServer.h"
 #include "platform/TableService.h"
 
@@ -75,9 +75,6 @@
   void tellRequestThread(ToRequests &&Message);
   void flushToRequestThread();
 
-  /// Sends waiting pushes, as many at once as are allowed.
-  void sendPushes();
-
   void bindCalls();
   void scheduleTick();
   void tick();
@@ -86,9 +83,6 @@
   void applyBackend(TimePoint Now);
   void onRequestThread(ToControl &&Message);
   void checkDrained();
-  std::optional<Address> controlAddressOf(const InstanceId &Peer) const;
-  void callPeer(const InstanceId &Peer, const std::string &Method,
-                const Json::Value &Params, RpcClient::Done OnDone);
   void setGauges();
 
   boost::asio::io_context &Io;
@@ -100,18 +94,11 @@
   RpcDispatcher Dispatcher;
   RpcServer Server;
   Member Self;
+  PeerCalls Calls;
   BackendMonitor Backend;
   boost::asio::steady_timer Ticker;
 
-  /// Rows on their way to one peer.
-  struct Push {
-    InstanceId Peer;
-    std::shared_ptr<const std::string> Text;
-  };
-
   std::deque<ToRequests> Unsent;
-  std::deque<Push> Pushes;
-  std::size_t PushesOutstanding = 0;
   OwnLoad Load;
   TimePoint NextIdleCheckAt;
   std::uint64_t PublishedChanges = 0;
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -79,6 +79,10 @@
     echo "$Name: caught: $(grep -m1 -E 'two serving owners|fell|RC_FAIL|RC_ASSERT|The expression' "$Work/log")"
   fi
   cp "$Root/$File" "$Work/tree/$File"
+
+  # A test that fails leaves its processes behind; the next one would find
+  # their addresses taken.
+  pgrep -f "^$Work/build/" | xargs -r kill -9
 done <<<"$Mutants"
 
 exit $Survived
