--- a/bench/plot.sh
+++ b/bench/plot.sh
@@ -24,6 +24,11 @@
     write("queue.dat", [(f'{row["order"]}-{row["slots"]}',
                          row["surge_short_ms"]["p99"], row["long_ms"]["p99"])
                         for row in queue["runs"]])
+if pathlib.Path("placement.json").exists():
+    runs = json.load(open("placement.json"))["runs"]
+    write("placement.dat", [(f'{row["scenario"]}-{row["method"]}'.replace("_", "-"),
+                             row["imbalance_mean"], row["imbalance_p95"])
+                            for row in runs])
 PY
 
 if [ -f scale.dat ]; then
@@ -49,4 +54,16 @@
 plot "queue.dat" using 2:xtic(1) title "short", "" using 3 title "long"
 GP
 fi
-rm -f scale.dat queue.dat
+if [ -f placement.dat ]; then
+  gnuplot <<'GP'
+set terminal png size 900,500
+set output "placement.png"
+set ylabel "highest load over the mean"
+set yrange [1:*]
+set xtics rotate by -30
+set style data histogram
+set style fill solid
+plot "placement.dat" using 2:xtic(1) title "mean", "" using 3 title "p95"
+GP
+fi
+rm -f scale.dat queue.dat placement.dat
