--- a/daemon/ControlPlane.cpp
+++ b/daemon/ControlPlane.cpp
@@ -6,7 +6,6 @@
 #include "daemon/Resources.h"
 #include "platform/TableCodec.h"
 
-
 namespace hemlockspar {
 
 namespace asio = boost::asio;
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "net/HttpClient.h"
 
 #include "core/EnumNames.h"
+#include "net/Peek.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -20,16 +21,6 @@
   return std::max(Deadline - BootClock::now(), Duration::zero());
 }
 
-/// Whether an idle connection is still open with nothing to read.
-bool isQuiet(asio::ip::tcp::socket &Socket) {
-  char Byte = 0;
-  error_code Error;
-  Socket.non_blocking(true, Error);
-  Socket.receive(asio::buffer(&Byte, 1), asio::socket_base::message_peek,
-                 Error);
-  return Error == asio::error::would_block;
-}
-
 ExchangeResult failed(ExchangeOutcome Outcome, std::string Error) {
   ExchangeResult Result;
   Result.Outcome = Outcome;
@@ -56,7 +47,7 @@
   while (!Free.empty()) {
     ConnectionPtr Peer = std::move(Free.back());
     Free.pop_back();
-    if (isQuiet(Peer->Peer.socket())) {
+    if (peek(Peer->Peer.socket()) == ConnectionSight::Quiet) {
       return Peer;
     }
   }
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "net/HttpServer.h"
 
 #include "core/Log.h"
+#include "net/Peek.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -42,17 +43,6 @@
                          Error.message());
 }
 
-/// Whether the peer has closed the connection. Data that is waiting, the next
-/// request, does not count as closed.
-bool peerHasClosed(asio::ip::tcp::socket &Socket) {
-  char Byte = 0;
-  error_code Error;
-  Socket.non_blocking(true, Error);
-  Socket.receive(asio::buffer(&Byte, 1), asio::socket_base::message_peek,
-                 Error);
-  return Error && Error != asio::error::would_block;
-}
-
 } // namespace
 
 struct HttpServer::Connection {
@@ -145,7 +135,7 @@
     Socket.async_wait(asio::socket_base::wait_read,
                       [Watch, &Socket](const error_code &Error) {
                         if (Error || Watch.use_count() == 1 ||
-                            !peerHasClosed(Socket)) {
+                            peek(Socket) != ConnectionSight::Closed) {
                           return;
                         }
                         Watch->Gone = true;
--- /dev/null
+++ b/net/Peek.cpp
@@ -0,0 +1,20 @@
+#include "net/Peek.h"
+
+namespace hemlockspar {
+
+namespace asio = boost::asio;
+
+ConnectionSight peek(asio::ip::tcp::socket &Socket) {
+  char Byte = 0;
+  boost::system::error_code Error;
+  Socket.non_blocking(true, Error);
+  Socket.receive(asio::buffer(&Byte, 1), asio::socket_base::message_peek,
+                 Error);
+
+  if (Error == asio::error::would_block) {
+    return ConnectionSight::Quiet;
+  }
+  return Error ? ConnectionSight::Closed : ConnectionSight::DataWaiting;
+}
+
+} // namespace hemlockspar
