--- a/tests/coordination/MemberWorld.h
+++ b/tests/coordination/MemberWorld.h
@@ -46,6 +46,7 @@
 public:
   static constexpr int MostMembers = 7;
   static constexpr SlotIndex SlotCount = 16;
+  static constexpr char Keyspace[] = "menus";
 
   MemberWorld(std::uint64_t Seed, int MemberCount);
   ~MemberWorld();
