--- a/coordination/LeaseKeeper.cpp
+++ b/coordination/LeaseKeeper.cpp
@@ -208,20 +208,19 @@
 }
 
 void LeaseKeeper::findMisplaced(TimePoint Now) {
-  Duration Interval = this->Context.Times.WitnessSpreadInterval;
-  bool Due = this->NextSpreadCheckAt && Now >= *this->NextSpreadCheckAt;
-  if (this->NextSpreadCheckAt && !Due) {
+  bool Scheduled = this->NextSpreadCheckAt.has_value();
+  if (Scheduled && Now < *this->NextSpreadCheckAt) {
     return;
   }
 
+  Duration Interval = this->Context.Times.WitnessSpreadInterval;
   this->NextSpreadCheckAt =
       Now + Interval / 2 + this->Context.randomSpan(Interval);
-
   this->Misplaced.reset();
 
   const WitnessSet &Current = this->Context.self()->Lease.Witnesses;
   bool AllGood = this->goodWitnesses(Now).size() == Current.size();
-  if (!Due || !AllGood) {
+  if (!Scheduled || !AllGood) {
     return;
   }
 
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -37,7 +37,7 @@
 handover-without-table-check|coordination/Mover.cpp|member_property_test|s/if \(this->Context.Table.hasCompleted\(this->CheckingRead\)\)/if (true)/
 handover-loses-exchanges|coordination/RoutingTable.cpp|coordination_test|s/Latest->second > Life/Latest->second >= Life/
 late-request-sent|net/HttpClient.cpp|parts_test|s/if \(BootClock::now\(\) >= Terms.SendBefore\)/if (false)/
-witnesses-kept-for-ever|coordination/LeaseKeeper.cpp|member_property_test --filter Member/WitnessingIsSpread|s/if \(!Due \|\| !AllGood\)/if (true)/
+witnesses-kept-for-ever|coordination/LeaseKeeper.cpp|member_property_test --filter Member/WitnessingIsSpread|s/if \(!Scheduled \|\| !AllGood\)/if (true)/
 no-campaigns|coordination/Recovery.cpp|member_property_test|s/if \(Now < Attempt.StartAt \|\| Attempt.CommitOutstanding\)/if (true)/
 '
 
