stand_ins: a run goes on under the renewed lease

The stand-in checked the end of a run against the lease that the request had brought with it, 0.94 to 1.44 s old at best, and ignored the grants that the daemon repeats every 400 ms. A run longer than that was always refused, though its owner held the lease throughout.

Ruled out: the daemon (it closed the exchange at 1000 ms), starvation (the other lines of the log are on time).

It takes the later of both ends, for the same slot and token only; a frozen server wakes with old grants and refuses as before.

--- a/stand_ins/BackendServer.cpp
+++ b/stand_ins/BackendServer.cpp
@@ -1,5 +1,6 @@
 #include "stand_ins/BackendServer.h"
 
+#include "core/ErrorMacros.h"
 #include "core/Hash.h"
 #include "core/Log.h"
 #include "daemon/RequestHeaders.h"
@@ -86,6 +87,7 @@
     return jsonResponse(http::status::ok, Json::Value("draining"));
   }
   if (Path == "/hemlockspar/grants") {
+    this->noteGrants(readJson(Request.body()).value_or(Json::Value()));
     return jsonResponse(http::status::ok, Json::Value("noted"));
   }
   return this->run(Request, Watch, Yield);
@@ -205,6 +207,27 @@
   return !Error;
 }
 
+void BackendServer::noteGrants(const Json::Value &Body) {
+  HS_FAIL_COND(!Body.isObject());
+
+  auto Slots = slotsFromJson(Body["slots"]);
+  if (!Slots || !Body["lease_until"].isInt64()) {
+    return;
+  }
+
+  this->Granted = std::move(*Slots);
+  this->GrantedUntil = Body["lease_until"].asInt64();
+}
+
+std::int64_t BackendServer::leaseEndOf(const Grant &Given) const {
+  auto Known = this->Granted.find(Given.Keyspace);
+  bool Renewed =
+      Known != this->Granted.end() &&
+      Known->second.find(static_cast<SlotIndex>(Given.Slot)) == Given.Token;
+  return Renewed ? std::max(Given.LeaseUntil, this->GrantedUntil)
+                 : Given.LeaseUntil;
+}
+
 std::optional<std::string> BackendServer::checkGrant(const Grant &Given) {
   if (!this->Options.ChecksGrants || Given.Keyspace.empty()) {
     return std::nullopt;
@@ -214,7 +237,7 @@
   if (Given.Token < Highest) {
     return "stale fencing token";
   }
-  if (BootClock::now().time_since_epoch().count() >= Given.LeaseUntil) {
+  if (BootClock::now().time_since_epoch().count() >= this->leaseEndOf(Given)) {
     return "lease has expired";
   }
   Highest = Given.Token;
--- a/stand_ins/BackendServer.h
+++ b/stand_ins/BackendServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/Slots.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
 #include "stand_ins/FaultSwitch.h"
@@ -73,6 +74,12 @@
   bool work(std::chrono::microseconds Span, CallerWatch &Watch,
             const boost::asio::yield_context &Yield);
   std::optional<std::string> checkGrant(const Grant &Given);
+
+  /// Takes in the grants that the daemon repeats with its renewed lease.
+  void noteGrants(const Json::Value &Body);
+
+  /// End of the lease under which \p Given runs, as far as is known here.
+  std::int64_t leaseEndOf(const Grant &Given) const;
   std::chrono::microseconds workFor(const HttpRequest &Request) const;
   void record(const HttpRequest &Request, const Grant &Given,
               TimePoint StartedAt, const char *Result);
@@ -90,6 +97,8 @@
   std::uint32_t Running = 0;
   std::deque<boost::asio::steady_timer *> Queue;
   std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> HighestToken;
+  SlotsByKeyspace Granted;
+  std::int64_t GrantedUntil = 0;
   std::map<std::string, std::uint64_t> Counters;
   std::deque<std::pair<TimePoint, std::uint32_t>> LoadHistory;
   std::ofstream Record;
--- a/tests/integration/RequestTest.cpp
+++ b/tests/integration/RequestTest.cpp
@@ -176,6 +176,16 @@
   }
 }
 
+/// A run may take longer than a lease that is renewed meanwhile.
+Test(Request, RunOutlastsALease) {
+  Mesh Cluster(38, {});
+  cr_assert(Cluster.start());
+
+  ExchangeResult Served =
+      Cluster.send(0, http::verb::get, "k1", {{"Work-Us", "2500000"}});
+  cr_assert_eq(Served.Response.result_int(), 200);
+}
+
 /// The caller hangs up: the run at the backend server is cancelled.
 Test(Request, CallerGoes) {
   Mesh Cluster(33, {});
