--- a/coordination/AdmissionQueue.cpp
+++ b/coordination/AdmissionQueue.cpp
@@ -87,6 +87,10 @@
 
 void AdmissionQueue::adaptLimit(const std::string &Class, Duration ServiceTime,
                                 bool Overloaded, TimePoint Now) {
+  if (!this->Limits.Adaptive) {
+    return;
+  }
+
   double Capacity = this->Limits.Capacity;
   auto Slow = std::chrono::duration_cast<Duration>(
       this->Learned.expected(Class) * SlowFactor);
@@ -118,6 +122,11 @@
   return std::max<std::uint32_t>(static_cast<std::uint32_t>(this->Limit), 1);
 }
 
+std::size_t AdmissionQueue::mustStartFirst(std::uint32_t Rank) const {
+  std::size_t Occupied = this->running() + this->Discipline->aheadOf(Rank) + 1;
+  return Occupied > this->limit() ? Occupied - this->limit() : 0;
+}
+
 Duration AdmissionQueue::expectedWait() const {
   return this->Learned.typical() *
          static_cast<Duration::rep>(this->waiting() + this->running()) /
--- a/coordination/AdmissionQueue.h
+++ b/coordination/AdmissionQueue.h
@@ -25,6 +25,11 @@
 
   /// Waiting requests for each unit of capacity.
   std::uint32_t QueuePerCapacity = 64;
+
+  /// Whether slow answers lower the number that run at once. Left out where
+  /// the backend server states what it runs at once and long answers are
+  /// ordinary.
+  bool Adaptive = true;
 };
 
 /// Decides at the owner which request is dispatched to the backend server and
@@ -55,6 +60,9 @@
 
   std::size_t waiting() const { return this->Discipline->size(); }
   std::size_t running() const { return this->Running.size(); }
+
+  /// Requests that have to start before a new one of \p Rank may.
+  std::size_t mustStartFirst(std::uint32_t Rank) const;
   std::uint32_t limit() const;
 
   /// How long a request offered now would wait, as far as can be told.
--- a/coordination/QueueDiscipline.cpp
+++ b/coordination/QueueDiscipline.cpp
@@ -217,6 +217,52 @@
   return this->Short.size() + this->Long.size();
 }
 
+// UrgencyDiscipline
+
+UrgencyDiscipline::UrgencyDiscipline(const ServiceTimes &Learned)
+    : Learned(Learned) {}
+
+void UrgencyDiscipline::push(const QueuedRequest &Request) {
+  this->Waiting[{Request.Rank, Request.ArrivedAt, Request.Number}] = Request;
+}
+
+std::optional<QueuedRequest> UrgencyDiscipline::pop(std::uint32_t, TimePoint) {
+  if (this->Waiting.empty()) {
+    return std::nullopt;
+  }
+  return std::move(this->Waiting.extract(this->Waiting.begin()).mapped());
+}
+
+bool UrgencyDiscipline::remove(RequestNumber Number) {
+  return std::erase_if(this->Waiting, [&](const auto &Entry) {
+           return Entry.second.Number == Number;
+         }) > 0;
+}
+
+std::vector<QueuedRequest> UrgencyDiscipline::removeLate(TimePoint Now) {
+  std::vector<QueuedRequest> Late;
+  std::erase_if(this->Waiting, [&](const auto &Entry) {
+    const QueuedRequest &Request = Entry.second;
+    bool IsLate = Now + this->Learned.expected(Request.Class) / 2 >=
+                  Request.Deadline;
+    if (IsLate) {
+      Late.push_back(Request);
+    }
+    return IsLate;
+  });
+  return Late;
+}
+
+void UrgencyDiscipline::onFinished(const QueuedRequest &) {}
+
+std::size_t UrgencyDiscipline::aheadOf(std::uint32_t Rank) const {
+  std::size_t Count = 0;
+  for (const auto &[At, Request] : this->Waiting) {
+    Count += Request.Rank <= Rank ? 1 : 0;
+  }
+  return Count;
+}
+
 std::unique_ptr<QueueDiscipline> makeDiscipline(QueueOrder Order,
                                                 const ServiceTimes &Learned) {
   switch (Order) {
--- a/coordination/QueueDiscipline.h
+++ b/coordination/QueueDiscipline.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace hemlockspar {
@@ -22,6 +23,9 @@
   /// Requests of one class are expected to take about the same time.
   std::string Class;
   std::string Caller;
+
+  /// Lower ranks go first where the discipline goes by urgency.
+  std::uint32_t Rank = 0;
   TimePoint ArrivedAt;
   TimePoint Deadline = TimePoint::max();
 };
@@ -55,6 +59,12 @@
   virtual void onFinished(const QueuedRequest &Request) = 0;
 
   virtual std::size_t size() const = 0;
+
+  /// Waiting requests that go before a new one of \p Rank.
+  virtual std::size_t aheadOf(std::uint32_t Rank) const {
+    (void)Rank;
+    return this->size();
+  }
 };
 
 /// First come, first served; the baseline.
@@ -124,6 +134,29 @@
   std::optional<TimePoint> LastShortArrival;
 };
 
+/// Lower ranks first, the oldest first within a rank; drops requests that can
+/// no longer be answered in time. Answers an overload in which calls that
+/// other requests wait for, and urgent requests, must not queue behind the
+/// rest.
+class UrgencyDiscipline : public QueueDiscipline {
+public:
+  explicit UrgencyDiscipline(const ServiceTimes &Learned);
+
+  void push(const QueuedRequest &Request) override;
+  std::optional<QueuedRequest> pop(std::uint32_t Limit, TimePoint Now) override;
+  bool remove(RequestNumber Number) override;
+  std::vector<QueuedRequest> removeLate(TimePoint Now) override;
+  void onFinished(const QueuedRequest &Request) override;
+  std::size_t size() const override { return this->Waiting.size(); }
+  std::size_t aheadOf(std::uint32_t Rank) const override;
+
+private:
+  using Place = std::tuple<std::uint32_t, TimePoint, RequestNumber>;
+
+  const ServiceTimes &Learned;
+  std::map<Place, QueuedRequest> Waiting;
+};
+
 std::unique_ptr<QueueDiscipline> makeDiscipline(QueueOrder Order,
                                                 const ServiceTimes &Learned);
 
--- a/core/Log.cpp
+++ b/core/Log.cpp
@@ -97,7 +97,7 @@
   auto Layout = std::make_shared<log4cxx::PatternLayout>(
       "%d{yyyy-MM-ddTHH:mm:ss.SSSZ} %-5p %c %m%n");
   auto Console = std::make_shared<log4cxx::ConsoleAppender>(
-      Layout, log4cxx::ConsoleAppender::getSystemErr());
+      Layout, log4cxx::ConsoleAppender::getSystemOut());
 
   auto Async = std::make_shared<log4cxx::AsyncAppender>();
   Async->setBufferSize(LogBufferLines);
@@ -109,6 +109,11 @@
   Root->setLevel(log4cxx::Level::toLevel(Level, log4cxx::Level::getInfo()));
 }
 
+void setLogLevel(const std::string &Level) {
+  log4cxx::Logger::getRootLogger()->setLevel(
+      log4cxx::Level::toLevel(Level, log4cxx::Level::getInfo()));
+}
+
 void logCheckFailure(const char *Condition, const char *Function,
                      const char *File, int Line) {
   LogLine(LogLevel::Error, "check", "check_failed")
--- a/core/Log.h
+++ b/core/Log.h
@@ -33,11 +33,14 @@
   std::string Text;
 };
 
-/// Sends log lines to standard error through an asynchronous appender, which
+/// Sends log lines to standard output through an asynchronous appender, which
 /// writes on a thread of its own and drops lines rather than blocks when its
 /// buffer is full. \p Level is one of debug, info, warn, error.
 void startLogging(const std::string &Level);
 
+/// Changes the level of lines that are written from now on.
+void setLogLevel(const std::string &Level);
+
 /// Logs a failed precondition check. Used by the macros of ErrorMacros.h.
 void logCheckFailure(const char *Condition, const char *Function,
                      const char *File, int Line);
--- /dev/null
+++ b/mesh/HopCodec.cpp
@@ -0,0 +1,110 @@
+#include "mesh/HopCodec.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+namespace hemlockspar::hop {
+
+namespace {
+
+constexpr char Header[] = "Hs-Hop";
+constexpr std::size_t TermFields = 7;
+constexpr std::size_t ResultFields = 8;
+constexpr char NoKey[] = "-";
+
+/// The fields of the header; empty when there is no such header.
+std::vector<std::string> fieldsOf(const http::fields &Fields) {
+  std::string Text = headerOf(Fields, Header);
+  return Text.empty() ? std::vector<std::string>()
+                      : std::vector<std::string>(absl::StrSplit(Text, ' '));
+}
+
+std::int64_t numberOf(const std::string &Text) {
+  std::int64_t Number = 0;
+  return absl::SimpleAtoi(absl::string_view(Text.data(), Text.size()), &Number)
+             ? Number
+             : 0;
+}
+
+Duration spanOf(const std::string &Text) {
+  return std::chrono::milliseconds(numberOf(Text));
+}
+
+} // namespace
+
+void writeTerms(HttpRequest &Request, const TryTerms &Terms, TimePoint Now) {
+  std::string Key = Terms.Key ? std::to_string(*Terms.Key) : NoKey;
+  Request.set(Header,
+              absl::StrCat(Terms.Service, " ", Key, " ", Terms.RouteName, " ",
+                           Terms.Rank, " ",
+                           toMilliseconds(Terms.GiveUpAt - Now), " ",
+                           toMilliseconds(Terms.MaxWait), " ",
+                           Terms.CallerService));
+}
+
+std::optional<TryTerms> takeTerms(HttpRequest &Request, TimePoint Now) {
+  std::vector<std::string> Fields = fieldsOf(Request);
+  Request.erase(Header);
+  if (Fields.size() != TermFields) {
+    return std::nullopt;
+  }
+
+  TryTerms Terms;
+  Terms.Service = Fields[0];
+  if (Fields[1] != NoKey) {
+    Terms.Key = static_cast<KeyNumber>(numberOf(Fields[1]));
+  }
+  Terms.RouteName = Fields[2];
+  Terms.Rank = static_cast<std::uint32_t>(numberOf(Fields[3]));
+  Terms.GiveUpAt = Now + spanOf(Fields[4]);
+  Terms.MaxWait = spanOf(Fields[5]);
+  Terms.CallerService = Fields[6];
+  return Terms;
+}
+
+HttpResponse writeResult(TryResult Result) {
+  bool Answered = Result.Outcome == RequestOutcome::Answered;
+  HttpResponse Response =
+      Answered ? std::move(Result.Response)
+               : HttpResponse(http::status::service_unavailable, 11);
+  ServerLoad Load = Result.Load.value_or(ServerLoad{0, 0, 0, {}});
+
+  Response.set(Header,
+               absl::StrCat(nameOf(Result.Outcome), " ", nameOf(Result.Reason),
+                            " ", Result.Reached ? 1 : 0, " ",
+                            toMilliseconds(Result.Wait), " ", Load.Running, " ",
+                            Load.Waiting, " ", Load.Slots, " ",
+                            toMilliseconds(Load.Mean)));
+  return Response;
+}
+
+TryResult takeResult(HttpResponse Response) {
+  std::vector<std::string> Fields = fieldsOf(Response);
+  Response.erase(Header);
+  if (Fields.size() != ResultFields) {
+    return tryUnknown(TryReason::WrongAnswer);
+  }
+
+  TryResult Result;
+  Result.Outcome =
+      requestOutcomeOf(Fields[0]).value_or(RequestOutcome::Unknown);
+  Result.Reason = tryReasonOf(Fields[1]).value_or(TryReason::WrongAnswer);
+  Result.Reached = Fields[2] == "1";
+  Result.Wait = spanOf(Fields[3]);
+
+  ServerLoad Load;
+  Load.Running = static_cast<std::uint32_t>(numberOf(Fields[4]));
+  Load.Waiting = static_cast<std::uint32_t>(numberOf(Fields[5]));
+  Load.Slots = static_cast<std::uint32_t>(numberOf(Fields[6]));
+  Load.Mean = spanOf(Fields[7]);
+  if (Load.Slots > 0) {
+    Result.Load = Load;
+  }
+  Result.Response = std::move(Response);
+  return Result;
+}
+
+void erase(http::fields &Fields) { Fields.erase(Header); }
+
+} // namespace hemlockspar::hop
--- /dev/null
+++ b/mesh/Ingress.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "mesh/Gate.h"
+#include "mesh/InstancePicker.h"
+#include "mesh/RetryBudget.h"
+
+namespace hemlockspar {
+
+/// Takes a caller's request, finds the instance that is to serve it, and sees
+/// to it that the caller gets one whole answer within the route's timeout. A
+/// request is sent on again only while that cannot make it run twice where it
+/// must not, within the route's attempts and the shared budget for repeats.
+class Ingress {
+public:
+  Ingress(boost::asio::io_context &Io, const MeshSettings &Config,
+          const MeshView &View, const LocalServer &Server, Gate &Local,
+          const RequestDialect &Dialect,
+          std::function<void()> OnOwnerUnreachable);
+
+  /// Answers a request of a caller on this machine.
+  HttpResponse serveCaller(HttpRequest &Request, CallerWatch &Watch,
+                           const boost::asio::yield_context &Yield);
+
+  /// Answers a request that another daemon sent on.
+  HttpResponse servePeer(HttpRequest &Request, CallerWatch &Watch,
+                         const boost::asio::yield_context &Yield);
+
+  /// The process stops: other daemons are told to go elsewhere.
+  void beginStop() { this->Stopping = true; }
+
+private:
+  struct Journey;
+
+  /// What to do after a try.
+  enum class NextStep { Finish, TryNow, TryAfterPause };
+
+  TryResult travel(HttpRequest &Request, Journey &Way, CallerWatch &Watch,
+                   const boost::asio::yield_context &Yield);
+  std::optional<InstanceId> choose(Journey &Way, TimePoint Now);
+  TryResult tryAt(const InstanceId &Instance, HttpRequest &Request,
+                  Journey &Way, CallerWatch &Watch,
+                  const boost::asio::yield_context &Yield);
+  TryResult sendTo(const InstanceRow &Row, HttpRequest &Request,
+                   const TryTerms &Terms, CallerWatch &Watch,
+                   const boost::asio::yield_context &Yield);
+  NextStep judge(const TryResult &Result, Journey &Way, TimePoint Now);
+  NextStep afterNotRun(const TryResult &Result, Journey &Way);
+  bool mayRepeat(const Journey &Way, TimePoint Now);
+  Duration allowedWait(const Journey &Way, TimePoint Now) const;
+  HttpResponse finish(TryResult &&Result, const Journey &Way);
+  HttpResponse refuse(http::status Status, const std::string &RequestId,
+                      const char *Reason, std::optional<Duration> RetryAfter);
+  std::string pickTarget(const Route &Chosen);
+  void log(const TryResult &Result, const Journey &Way) const;
+
+  boost::asio::io_context &Io;
+  const MeshSettings &Config;
+  const MeshView &View;
+  const LocalServer &Server;
+  Gate &Local;
+  const RequestDialect &Dialect;
+  std::function<void()> OnOwnerUnreachable;
+  HttpClient Peers;
+  InstancePicker Picker;
+  RetryBudget Budget;
+  std::mt19937_64 Random;
+  bool Stopping = false;
+};
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/InstancePicker.cpp
@@ -0,0 +1,140 @@
+#include "mesh/InstancePicker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlockspar {
+
+namespace {
+
+/// Expected ways there and back, in seconds; between regions from the
+/// platform's sites.
+constexpr double SameDataCenter = 0.0005;
+constexpr double SameRegion = 0.002;
+constexpr double OtherRegion = 0.06;
+
+/// Bytes between regions are dear: a request goes there when it saves at least
+/// this much waiting, in seconds.
+constexpr double OtherRegionSurcharge = 0.15;
+
+/// A load told by an instance loses its meaning with this time constant, in
+/// seconds: about the length of a request.
+constexpr double LoadFade = 0.4;
+
+/// Costs are varied by up to this share, so that instances with the same view
+/// do not all choose the same one.
+constexpr double Spread = 0.1;
+
+/// Assumed until a first load was told.
+constexpr double UnknownMean = 0.2;
+
+/// An instance that could not be reached is left alone this long at first, and
+/// twice as long after each failure up to the longest.
+constexpr auto FirstSuspicion = std::chrono::milliseconds(250);
+constexpr auto LongestSuspicion = std::chrono::milliseconds(2000);
+
+/// A backend server that cannot be sent requests is left alone this long; its
+/// row says when that lasts.
+constexpr auto UnavailablePause = std::chrono::milliseconds(400);
+
+double seconds(Duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+} // namespace
+
+InstancePicker::InstancePicker(std::string Region, std::string DataCenter,
+                               std::uint64_t Seed)
+    : Region(std::move(Region)), DataCenter(std::move(DataCenter)),
+      Random(Seed) {}
+
+std::optional<InstanceId>
+InstancePicker::pick(const MeshView &View, const std::string &Service,
+                     const std::set<InstanceId> &Tried, TimePoint Now) {
+  const InstanceRow *Best = nullptr;
+  double BestCost = 0;
+
+  for (const auto &[Name, Row] : View.instances()) {
+    bool Fits = Row.Service == Service && Row.State == ServerState::Ready &&
+                !Tried.contains(Name) && !this->isSuspect(Name, Now);
+    if (!Fits) {
+      continue;
+    }
+    double Cost = this->cost(Row, Now);
+    if (!Best || Cost < BestCost) {
+      Best = &Row;
+      BestCost = Cost;
+    }
+  }
+  if (!Best) {
+    return std::nullopt;
+  }
+
+  // While it is not known to answer again, one request at a time finds out.
+  Known &Chosen = this->Instances[Best->Instance];
+  if (Chosen.Failures > 0) {
+    Chosen.SuspectUntil = Now + FirstSuspicion;
+  }
+  return Best->Instance;
+}
+
+double InstancePicker::cost(const InstanceRow &Row, TimePoint Now) {
+  Known &Seen = this->Instances[Row.Instance];
+  bool Told = Seen.Load.Mean > Duration::zero();
+  double Mean = Told ? seconds(Seen.Load.Mean) : UnknownMean;
+  double Slots = std::max<double>(Row.Slots, 1);
+
+  double Fade = std::exp(-std::max(seconds(Now - Seen.LoadAt), 0.0) / LoadFade);
+  double Others = (Seen.Load.Running + Seen.Load.Waiting) * Fade;
+  double Ahead = std::max<double>(Others, Seen.InFlight);
+  double Wait = std::max(Ahead + 1 - Slots, 0.0) * Mean / Slots;
+
+  // Nearly full backend servers slow down.
+  double Crowding = 0.2 * Mean * std::min(Ahead / Slots, 1.0);
+
+  double Travel = Row.DataCenter == this->DataCenter ? SameDataCenter
+                  : Row.Region == this->Region
+                      ? SameRegion
+                      : OtherRegion + OtherRegionSurcharge;
+  std::uniform_real_distribution<double> Vary(1.0, 1.0 + Spread);
+  return (Travel + Wait + Mean + Crowding) * Vary(this->Random);
+}
+
+void InstancePicker::onSent(const InstanceId &Instance) {
+  ++this->Instances[Instance].InFlight;
+}
+
+void InstancePicker::onEnded(const InstanceId &Instance) {
+  Known &Seen = this->Instances[Instance];
+  Seen.InFlight -= Seen.InFlight > 0 ? 1 : 0;
+}
+
+void InstancePicker::onLoad(const InstanceId &Instance, const ServerLoad &Load,
+                            TimePoint Now) {
+  Known &Seen = this->Instances[Instance];
+  Seen.Load = Load;
+  Seen.LoadAt = Now;
+}
+
+void InstancePicker::onUnreachable(const InstanceId &Instance, TimePoint Now) {
+  Known &Seen = this->Instances[Instance];
+  auto Pause = FirstSuspicion * (1 << std::min<std::uint32_t>(Seen.Failures, 3));
+  ++Seen.Failures;
+  Seen.SuspectUntil = Now + std::min(Pause, LongestSuspicion);
+}
+
+void InstancePicker::onReached(const InstanceId &Instance) {
+  this->Instances[Instance].Failures = 0;
+}
+
+void InstancePicker::onUnavailable(const InstanceId &Instance, TimePoint Now) {
+  this->Instances[Instance].SuspectUntil = Now + UnavailablePause;
+}
+
+bool InstancePicker::isSuspect(const InstanceId &Instance,
+                               TimePoint Now) const {
+  auto Place = this->Instances.find(Instance);
+  return Place != this->Instances.end() && Now < Place->second.SuspectUntil;
+}
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/InstancePicker.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "mesh/MeshView.h"
+#include "mesh/ServerLoad.h"
+
+#include <random>
+#include <set>
+
+namespace hemlockspar {
+
+/// Chooses which instance gets a request of a service whose keys are not
+/// owned: the one that is expected to answer first, with a surcharge for other
+/// regions, whose links are slow and paid by the byte. What is known of a load
+/// comes with answers and fades; an instance that is more loaded than was
+/// thought refuses, and the next one is asked. Instances that cannot be reached
+/// are left out, and tried again one request at a time. Free of I/O.
+class InstancePicker {
+public:
+  InstancePicker(std::string Region, std::string DataCenter,
+                 std::uint64_t Seed);
+
+  /// The instance for a request of \p Service; none of \p Tried. Nothing when
+  /// there is none.
+  std::optional<InstanceId> pick(const MeshView &View,
+                                 const std::string &Service,
+                                 const std::set<InstanceId> &Tried,
+                                 TimePoint Now);
+
+  void onSent(const InstanceId &Instance);
+  void onEnded(const InstanceId &Instance);
+
+  /// \p Instance told its load.
+  void onLoad(const InstanceId &Instance, const ServerLoad &Load,
+              TimePoint Now);
+
+  /// No connection to \p Instance came about.
+  void onUnreachable(const InstanceId &Instance, TimePoint Now);
+  void onReached(const InstanceId &Instance);
+
+  /// Its backend server is not to be sent requests for now.
+  void onUnavailable(const InstanceId &Instance, TimePoint Now);
+
+  bool isSuspect(const InstanceId &Instance, TimePoint Now) const;
+
+private:
+  struct Known {
+    std::uint32_t InFlight = 0;
+    std::uint32_t Failures = 0;
+    TimePoint SuspectUntil;
+    ServerLoad Load;
+    TimePoint LoadAt;
+  };
+
+  double cost(const InstanceRow &Row, TimePoint Now);
+
+  std::string Region;
+  std::string DataCenter;
+  std::mt19937_64 Random;
+  std::map<InstanceId, Known> Instances;
+};
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/InstanceRow.cpp
@@ -0,0 +1,62 @@
+#include "mesh/InstanceRow.h"
+
+#include "core/EnumNames.h"
+#include "core/Json.h"
+
+namespace hemlockspar {
+
+namespace {
+
+constexpr std::array<const char *, 3> ServerStateNames = {"ready", "leaving",
+                                                          "gone"};
+
+} // namespace
+
+const char *nameOf(ServerState State) {
+  return nameIn(ServerStateNames, State);
+}
+
+std::optional<ServerState> serverStateOf(const std::string &Name) {
+  return enumIn<ServerState>(ServerStateNames, Name);
+}
+
+std::string InstanceRow::toText() const {
+  Json::Value Text;
+  Text["instance"] = this->Instance;
+  Text["region"] = this->Region;
+  Text["dc"] = this->DataCenter;
+  Text["inner"] = this->Inner.toText();
+  Text["service"] = this->Service;
+  Text["server"] = this->Run.Id;
+  Text["started"] = Json::Int64(this->Run.StartedAt);
+  Text["slots"] = this->Slots;
+  Text["state"] = nameOf(this->State);
+  return writeJson(Text);
+}
+
+std::optional<InstanceRow> InstanceRow::fromText(const std::string &Text) {
+  auto Value = readJson(Text);
+  if (!Value || !Value->isObject()) {
+    return std::nullopt;
+  }
+
+  InstanceRow Row;
+  auto State = serverStateOf(getString(*Value, "state"));
+  const Json::Value &Started = (*Value)["started"];
+  bool Sound = State && Started.isInt64() &&
+               Address::fromText(getString(*Value, "inner"), Row.Inner);
+  if (!Sound) {
+    return std::nullopt;
+  }
+
+  Row.Instance = getString(*Value, "instance");
+  Row.Region = getString(*Value, "region");
+  Row.DataCenter = getString(*Value, "dc");
+  Row.Service = getString(*Value, "service");
+  Row.Run = {getString(*Value, "server"), Started.asInt64()};
+  Row.Slots = static_cast<std::uint32_t>(getUnsigned(*Value, "slots"));
+  Row.State = *State;
+  return Row.Instance.empty() ? std::nullopt : std::optional(Row);
+}
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/KeyAccess.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "mesh/ServerReport.h"
+
+namespace hemlockspar {
+
+/// What the way to the backend server has to know of the keys it holds.
+class KeyAccess {
+public:
+  virtual ~KeyAccess() = default;
+
+  /// Whether a request for \p Key may be sent to the backend server now.
+  virtual bool serves(KeyNumber Key, TimePoint Now) const = 0;
+
+  /// Whether \p Key belongs here and will soon be served.
+  virtual bool expects(KeyNumber Key) const = 0;
+
+  /// A request for \p Key held a slot for \p Busy.
+  virtual void recordLoad(KeyNumber Key, Duration Busy, TimePoint Now) = 0;
+};
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/KeyKeeper.cpp
@@ -0,0 +1,647 @@
+#include "mesh/KeyKeeper.h"
+
+#include "core/EnumNames.h"
+
+#include <algorithm>
+
+namespace hemlockspar {
+
+namespace {
+
+constexpr std::array<const char *, 10> KeyEventNames = {
+    "first_layout",  "lease_lost",    "lease_held",        "run_adopted",
+    "handover_begun", "handover_done", "handover_given_up", "server_lost",
+    "taken_over",    "write_failed"};
+
+/// A grant outlasts this many heartbeats, so that three reports in a row may
+/// be late before requests are turned away.
+constexpr int HeartbeatsPerHold = 4;
+
+/// No report for this many heartbeats means that the backend server is lost or
+/// cut off.
+constexpr int HeartbeatsToLoss = 3;
+
+/// The backend server's clock may run this much slower than ours.
+constexpr double SlowestClock = 1.0 + StoreClock::Drift;
+
+/// A grant ends this long before the lease, for the way of the answer.
+constexpr auto GrantMargin = std::chrono::milliseconds(30);
+
+/// Grants shorter than this are not worth an answer.
+constexpr auto ShortestHold = std::chrono::milliseconds(150);
+
+/// The first layout waits until no instance has joined for this long: all
+/// start within a moment, and whoever comes later has to be moved keys to.
+constexpr auto SettleTime = std::chrono::milliseconds(1300);
+
+/// Later instances wait this much longer each, so that one writes the layout.
+constexpr auto SettleStep = std::chrono::milliseconds(400);
+
+/// Between two readings of the leases: a reading is a priced call.
+constexpr auto LeaseReadPause = std::chrono::milliseconds(700);
+
+constexpr auto MeshReadPause = std::chrono::milliseconds(300);
+
+/// Between two gifts of one owner, so that the effect of one shows in the load
+/// before the next is weighed.
+constexpr auto GiftPause = std::chrono::milliseconds(2500);
+
+/// Requests that still run keep a handover waiting; after this long the keys
+/// stay where they are.
+constexpr auto GiftPatience = std::chrono::seconds(8);
+
+/// Pause after a write of the map that failed.
+constexpr auto WriteRetryPause = std::chrono::milliseconds(60);
+
+std::string countText(const std::vector<KeySpan> &Spans) {
+  std::uint32_t Keys = 0;
+  for (const KeySpan &Span : Spans) {
+    Keys += Span.size();
+  }
+  return std::to_string(Keys) + " keys in " + std::to_string(Spans.size()) +
+         " spans";
+}
+
+std::string spanText(const KeySpan &Keys) {
+  return std::to_string(Keys.From) + ".." + std::to_string(Keys.To);
+}
+
+bool isSound(const ServerReport &Report) { return !Report.Leaving; }
+
+} // namespace
+
+const char *nameOf(KeyEvent Event) { return nameIn(KeyEventNames, Event); }
+
+KeyKeeper::KeyKeeper(InstanceId Instance, std::uint64_t Process, Terms Bounds,
+                     const MeshView &View, KeyKeeperActions &Actions,
+                     TimePoint Now)
+    : Instance(Instance), Bounds(Bounds), View(View), Actions(Actions),
+      Lease(Instance, Process, {}), ReportedAt(Now),
+      HoldEnd(Now + std::chrono::duration_cast<Duration>(this->holdTime() *
+                                                         SlowestClock)),
+      MembersChangedAt(Now) {}
+
+Duration KeyKeeper::holdTime() const {
+  return std::min(this->Bounds.Heartbeat * HeartbeatsPerHold,
+                  this->Bounds.LongestHold);
+}
+
+const MeshView::VersionedKeyMap *KeyKeeper::map() const {
+  return this->View.findKeyMap(this->service());
+}
+
+bool KeyKeeper::mayAct(TimePoint Now) const {
+  return this->Lease.holds(Now) &&
+         this->View.completeAt() >= this->Lease.unbrokenSince();
+}
+
+bool KeyKeeper::serverLost(TimePoint Now) const {
+  bool Silent =
+      Now - this->ReportedAt > this->Bounds.Heartbeat * HeartbeatsToLoss;
+  return (this->Refused || Silent) && Now >= this->HoldEnd;
+}
+
+bool KeyKeeper::isGiving(const KeySpan &Keys) const {
+  return std::any_of(
+      this->Gifts.begin(), this->Gifts.end(),
+      [&](const Gift &Given) { return Given.Keys.overlaps(Keys); });
+}
+
+// The backend server
+
+void KeyKeeper::onReport(const ServerReport &Report, TimePoint Now) {
+  bool NewRun = this->Reported && Report.Run != this->Report.Run;
+  if (NewRun) {
+    // The run before it is gone, and what it held with it.
+    this->HoldEnd = Now;
+    this->Granted.clear();
+    this->Gifts.clear();
+    this->Leaving = false;
+  }
+
+  this->Report = Report;
+  this->Reported = true;
+  this->Refused = false;
+  this->ReportedAt = Now;
+  this->Leaving = this->Leaving || Report.Leaving;
+  this->noteReleases(Report);
+  this->tick(Now);
+}
+
+void KeyKeeper::onLeaving(TimePoint Now) {
+  this->Leaving = true;
+  this->tick(Now);
+}
+
+void KeyKeeper::onServerRefused(TimePoint Now) {
+  if (!this->Refused) {
+    this->Refused = true;
+    this->HoldEnd = Now;
+    this->Granted.clear();
+    this->tick(Now);
+  }
+}
+
+void KeyKeeper::noteReleases(const ServerReport &Report) {
+  for (Gift &Given : this->Gifts) {
+    for (const ReleasedKeys &Freed : Report.Released) {
+      if (Given.Keys.overlaps(Freed.Keys)) {
+        KeySpan Part = {std::max(Given.Keys.From, Freed.Keys.From),
+                        std::min(Given.Keys.To, Freed.Keys.To)};
+        Given.Released.push_back({Part, Freed.Handover});
+      }
+    }
+    bool Held = std::any_of(Report.Held.begin(), Report.Held.end(),
+                            [&](const HeldKeys &Keys) {
+                              return Keys.Keys.overlaps(Given.Keys);
+                            });
+    Given.LetGo = Given.LetGo || !Held;
+  }
+}
+
+std::optional<KeyGrants> KeyKeeper::grant(TimePoint ReceivedAt, TimePoint Now) {
+  const MeshView::VersionedKeyMap *Known = this->map();
+  bool Doubtful = this->inDoubt() && this->DoubtfulLoss;
+  if (!this->Reported || !Known || Doubtful || !this->mayAct(Now)) {
+    return std::nullopt;
+  }
+
+  auto UnderLease = std::chrono::duration_cast<Duration>(
+      (this->Lease.endsAt() - GrantMargin - ReceivedAt) / SlowestClock);
+  Duration Hold = std::min(this->holdTime(), UnderLease);
+  if (Hold < ShortestHold) {
+    return std::nullopt;
+  }
+
+  KeyGrants Answer;
+  Answer.HoldTime = std::chrono::milliseconds(toMilliseconds(Hold));
+  for (const OwnedKeys &Entry : Known->Map.ownedBy(this->Instance)) {
+    if (Entry.Holder == this->self() && !this->isGiving(Entry.Keys)) {
+      Answer.Granted.push_back({Entry.Keys, Entry.Token, Entry.Handover});
+      continue;
+    }
+    if (Entry.Holder != this->self()) {
+      continue;
+    }
+    // Part of the entry is being given away.
+    KeySpan Rest = Entry.Keys;
+    for (const Gift &Given : this->Gifts) {
+      if (!Given.Keys.overlaps(Rest)) {
+        continue;
+      }
+      if (Given.Keys.From > Rest.From) {
+        Answer.Granted.push_back(
+            {{Rest.From, Given.Keys.From - 1}, Entry.Token, Entry.Handover});
+      }
+      Rest.From = Given.Keys.To + 1;
+      if (Rest.From > Rest.To) {
+        break;
+      }
+    }
+    if (Rest.From <= Rest.To) {
+      Answer.Granted.push_back({Rest, Entry.Token, Entry.Handover});
+    }
+  }
+
+  this->Granted = Answer.Granted;
+  this->GrantedUntil = ReceivedAt + Answer.HoldTime;
+  this->HoldEnd = std::max(
+      this->HoldEnd, ReceivedAt + std::chrono::duration_cast<Duration>(
+                                      Answer.HoldTime * SlowestClock));
+  return Answer;
+}
+
+bool KeyKeeper::serves(KeyNumber Key, TimePoint Now) const {
+  bool Held = std::any_of(
+      this->Granted.begin(), this->Granted.end(),
+      [&](const GrantedKeys &Keys) { return Keys.Keys.contains(Key); });
+  return Held && Now < this->GrantedUntil && !this->isGiving({Key, Key});
+}
+
+bool KeyKeeper::expects(KeyNumber Key) const {
+  const MeshView::VersionedKeyMap *Known = this->map();
+  return Known && !this->Leaving && !this->Refused &&
+         Known->Map.find(Key).Holder.Instance == this->Instance &&
+         !this->isGiving({Key, Key});
+}
+
+// The lease
+
+void KeyKeeper::onLeaseCommit(const StoreCommit &Commit, TimePoint SentAt,
+                              TimePoint Now) {
+  if (Commit.StoreClock) {
+    this->Clock.observe(*Commit.StoreClock, SentAt, Now);
+  }
+  this->Lease.onCommit(Commit, this->Clock, Now);
+  if (Commit.Result.Outcome == CommitOutcome::Committed) {
+    // The others renew about as often, so their rows are news by now.
+    this->LeasesWanted = true;
+  }
+  this->tick(Now);
+}
+
+void KeyKeeper::onLeases(const std::optional<StoreRows> &Rows,
+                         TimePoint SentAt, TimePoint Now) {
+  this->LeasesAsked = false;
+  if (!Rows) {
+    return;
+  }
+  if (Rows->StoreClock) {
+    this->Clock.observe(*Rows->StoreClock, SentAt, Now);
+  }
+
+  this->LeasesWanted = false;
+  this->LeasesAt = Rows->StoreClock;
+  this->Leases.clear();
+  const TableRow *Own = nullptr;
+
+  for (const TableRow &Row : Rows->Rows) {
+    auto Parsed = Row.Value ? KeyLease::fromText(*Row.Value) : std::nullopt;
+    if (!Parsed) {
+      continue;
+    }
+    InstanceId Holder = Row.Key.substr(Row.Key.find('/') + 1);
+    this->Leases[Holder] = {*Parsed, Row.Version};
+    Own = Holder == this->Instance ? &Row : Own;
+  }
+
+  this->Lease.onRow(Own, this->Clock);
+  this->tick(Now);
+}
+
+void KeyKeeper::tendLease(TimePoint Now) {
+  bool Wanted = this->LeasesWanted || this->Lease.needsRead();
+  if (Wanted && !this->LeasesAsked && Now >= this->NextLeasesAt) {
+    this->LeasesAsked = true;
+    this->NextLeasesAt = Now + LeaseReadPause;
+    this->Actions.readLeases();
+  }
+
+  if (auto Write = this->Lease.takeDue(this->Clock, this->OwnLoad, Now)) {
+    this->Actions.commitLease(*Write);
+  }
+
+  bool Holds = this->Lease.holds(Now);
+  if (Holds != this->LeaseHeld) {
+    this->LeaseHeld = Holds;
+    this->Actions.decided(Holds ? KeyEvent::LeaseHeld : KeyEvent::LeaseLost,
+                          "");
+  }
+
+  auto Version = this->Lease.version();
+  bool Doubtful = this->DoubtfulFrom && Version &&
+                  *Version > *this->DoubtfulFrom &&
+                  this->View.completeAt() < *Version;
+  bool TooOld =
+      Holds && (Doubtful ||
+                this->View.completeAt() < this->Lease.unbrokenSince());
+  if (TooOld && Now >= this->MeshAskedAt + MeshReadPause) {
+    this->MeshAskedAt = Now;
+    this->Actions.readMesh();
+  }
+}
+
+// The map of owners
+
+void KeyKeeper::tick(TimePoint Now) {
+  this->tendLease(Now);
+  if (this->Reported && this->mayAct(Now)) {
+    this->tendMap(Now);
+  }
+}
+
+void KeyKeeper::tendMap(TimePoint Now) {
+  this->settleDoubt();
+  this->dropStaleGifts(Now);
+
+  bool Free = this->Writing == MapWrite::None && !this->inDoubt() &&
+              Now >= this->WriteRetryAt;
+  if (!Free) {
+    return;
+  }
+  if (!this->map()) {
+    this->tryFirstLayout(Now);
+    return;
+  }
+  if (this->tryAdopt() || this->tryFinishGifts() ||
+      this->tryGiveUpServer(Now) || this->tryTakeover(Now)) {
+    return;
+  }
+  this->planGifts(Now);
+}
+
+std::vector<KeyMember> KeyKeeper::members(bool WithSelf, TimePoint Now) const {
+  std::vector<KeyMember> Found;
+  auto StoreTime = this->Clock.earliest(Now);
+
+  for (const auto &[Name, Row] : this->View.instances()) {
+    bool Own = Name == this->Instance;
+    bool Fits = Row.Service == this->service() &&
+                Row.State == ServerState::Ready && (!Own || WithSelf);
+    if (!Fits) {
+      continue;
+    }
+    if (Own) {
+      Found.push_back({this->self(), this->OwnLoad});
+      continue;
+    }
+
+    auto Held = this->Leases.find(Name);
+    bool Live = Held != this->Leases.end() && StoreTime &&
+                Held->second.Row.Until > *StoreTime;
+    if (Live) {
+      Found.push_back({{Name, Row.Run}, Held->second.Row.Load});
+    }
+  }
+  return Found;
+}
+
+bool KeyKeeper::tryFirstLayout(TimePoint Now) {
+  std::vector<KeyMember> All = this->members(true, Now);
+  if (All.size() != this->MembersSeen) {
+    this->MembersSeen = All.size();
+    this->MembersChangedAt = Now;
+  }
+
+  std::size_t Rank = 0;
+  for (const KeyMember &Member : All) {
+    Rank += Member.Holder.Instance < this->Instance ? 1 : 0;
+  }
+  bool Settled = Now - this->MembersChangedAt >=
+                 SettleTime + SettleStep * static_cast<int>(Rank);
+  if (!Settled) {
+    this->LeasesWanted = true;
+    return false;
+  }
+  if (All.empty() || this->Leaving) {
+    return false;
+  }
+
+  this->write(MapWrite::FirstLayout, firstLayout(All), {});
+  return true;
+}
+
+bool KeyKeeper::tryAdopt() {
+  bool Serving = !this->Leaving && !this->Refused && isSound(this->Report);
+  if (!Serving) {
+    return false;
+  }
+
+  KeyMap Fresh = this->map()->Map;
+  bool Changed = false;
+  for (const OwnedKeys &Entry : Fresh.ownedBy(this->Instance)) {
+    if (Entry.Holder.Run != this->Report.Run) {
+      Fresh.assign(Entry.Keys, this->self(), "");
+      Changed = true;
+    }
+  }
+  if (Changed) {
+    this->write(MapWrite::Adopt, Fresh, {});
+  }
+  return Changed;
+}
+
+bool KeyKeeper::tryFinishGifts() {
+  KeyMap Fresh = this->map()->Map;
+  bool Changed = false;
+
+  for (const Gift &Given : this->Gifts) {
+    if (!Given.LetGo) {
+      continue;
+    }
+    Fresh.assign(Given.Keys, Given.To, "");
+    for (const ReleasedKeys &Part : Given.Released) {
+      Fresh.assign(Part.Keys, Given.To, Part.Handover);
+    }
+    Changed = true;
+  }
+
+  return Changed && this->writeAsOwner(MapWrite::Handover, Fresh);
+}
+
+bool KeyKeeper::tryGiveUpServer(TimePoint Now) {
+  std::vector<KeySpan> Lost;
+  for (const OwnedKeys &Entry : this->map()->Map.ownedBy(this->Instance)) {
+    Lost.push_back(Entry.Keys);
+  }
+  if (Lost.empty() || !this->serverLost(Now)) {
+    return false;
+  }
+
+  std::vector<KeyMember> Others = this->members(false, Now);
+  if (Others.empty()) {
+    return false;
+  }
+
+  KeyMap Fresh = this->map()->Map;
+  for (const PlannedGift &Given : spread(Fresh, Lost, Others)) {
+    Fresh.assign(Given.Keys, Given.To, "");
+  }
+  if (!this->writeAsOwner(MapWrite::Lost, Fresh)) {
+    return false;
+  }
+  this->Gifts.clear();
+  this->Actions.decided(KeyEvent::ServerLost, countText(Lost));
+  return true;
+}
+
+std::vector<KeySpan> KeyKeeper::lostKeys(const KeyMap &Map,
+                                         TableTransaction &Write) const {
+  std::vector<KeySpan> Lost;
+  std::map<InstanceId, bool> Judged;
+
+  for (const OwnedKeys &Entry : Map.entries()) {
+    const InstanceId &Holder = Entry.Holder.Instance;
+    if (Holder == this->Instance) {
+      continue;
+    }
+
+    auto Known = this->Leases.find(Holder);
+    bool Ended = Known != this->Leases.end() && this->LeasesAt &&
+                 Known->second.Row.Until < *this->LeasesAt;
+    if (!Holder.empty() && !Ended) {
+      continue;
+    }
+    Lost.push_back(Entry.Keys);
+
+    if (!Holder.empty() && !Judged[Holder]) {
+      Judged[Holder] = true;
+      std::string Key = KeyLease::key(Holder);
+      Write.Conditions.push_back({Key, Known->second.Version});
+      Write.Writes.push_back({Key, KeyLease::ended().toText()});
+    }
+  }
+  return Lost;
+}
+
+bool KeyKeeper::tryTakeover(TimePoint Now) {
+  if (this->Leaving || this->serverLost(Now)) {
+    return false;
+  }
+
+  TableTransaction Write;
+  KeyMap Fresh = this->map()->Map;
+  std::vector<KeySpan> Lost = this->lostKeys(Fresh, Write);
+  std::vector<KeyMember> Live = this->members(true, Now);
+  if (Lost.empty() || Live.empty()) {
+    return false;
+  }
+
+  for (const PlannedGift &Given : spread(Fresh, Lost, Live)) {
+    Fresh.assign(Given.Keys, Given.To, "");
+  }
+  this->Actions.decided(KeyEvent::TakenOver, countText(Lost));
+  this->write(MapWrite::Takeover, Fresh, std::move(Write));
+  return true;
+}
+
+void KeyKeeper::planGifts(TimePoint Now) {
+  if (this->Leaving) {
+    this->planLeaving(Now);
+    return;
+  }
+  if (!this->Gifts.empty() || Now < this->NextGiftAt || !this->LeasesAt) {
+    return;
+  }
+
+  auto Planned = planGift(this->map()->Map, this->self(),
+                          this->members(true, Now), this->Loads, Now);
+  if (Planned) {
+    this->begin(*Planned, Now);
+    this->Loads.prune(Now);
+  }
+}
+
+void KeyKeeper::planLeaving(TimePoint Now) {
+  std::vector<KeySpan> Rest;
+  for (const OwnedKeys &Entry : this->map()->Map.ownedBy(this->Instance)) {
+    if (!this->isGiving(Entry.Keys)) {
+      Rest.push_back(Entry.Keys);
+    }
+  }
+  std::vector<KeyMember> Others = this->members(false, Now);
+  if (Rest.empty() || Others.empty()) {
+    return;
+  }
+
+  for (const PlannedGift &Planned : spread(this->map()->Map, Rest, Others)) {
+    this->begin(Planned, Now);
+  }
+}
+
+void KeyKeeper::begin(const PlannedGift &Planned, TimePoint Now) {
+  this->NextGiftAt = Now + GiftPause;
+  this->Gifts.push_back({Planned.Keys, Planned.To, Now, {}, false});
+  std::sort(this->Gifts.begin(), this->Gifts.end(),
+            [](const Gift &First, const Gift &Second) {
+              return First.Keys < Second.Keys;
+            });
+  this->Actions.decided(KeyEvent::HandoverBegun,
+                        spanText(Planned.Keys) + " to " + Planned.To.Instance);
+  this->Actions.grantsChanged();
+}
+
+void KeyKeeper::dropStaleGifts(TimePoint Now) {
+  std::erase_if(this->Gifts, [&](const Gift &Given) {
+    const InstanceRow *Row = this->View.findInstance(Given.To.Instance);
+    bool Receives = Row && Row->State == ServerState::Ready &&
+                    Row->Run == Given.To.Run;
+    bool Moved = this->map() && this->map()->Map.find(Given.Keys.From)
+                                        .Holder.Instance != this->Instance;
+    bool Stale = !Receives || Now - Given.Since > GiftPatience;
+    bool GivenUp = (Moved || Stale) && !this->inDoubt() &&
+                   this->Writing != MapWrite::Handover;
+    if (GivenUp && !Moved) {
+      this->Actions.decided(KeyEvent::HandoverGivenUp, spanText(Given.Keys));
+    }
+    return GivenUp;
+  });
+}
+
+void KeyKeeper::write(MapWrite Kind, const KeyMap &Fresh,
+                      TableTransaction Write) {
+  const MeshView::VersionedKeyMap *Known = this->map();
+  std::string Key = MeshView::keyMapKey(this->service());
+
+  this->Writing = Kind;
+  Write.Conditions.push_back({Key, Known ? Known->Version : 0});
+  Write.Writes.push_back({Key, Fresh.toText()});
+  this->Actions.commitMap(Write);
+}
+
+bool KeyKeeper::writeAsOwner(MapWrite Kind, const KeyMap &Fresh) {
+  auto Version = this->Lease.version();
+  if (!Version) {
+    return false;
+  }
+
+  // Bound to the lease's row, the write cannot be done late under a later
+  // lease, when the keys may have been granted here again.
+  TableTransaction Write;
+  Write.Conditions.push_back({KeyLease::key(this->Instance), *Version});
+  this->DoubtfulFrom = Version;
+  this->DoubtfulLoss = Kind == MapWrite::Lost;
+  this->write(Kind, Fresh, std::move(Write));
+  return true;
+}
+
+bool KeyKeeper::inDoubt() const { return this->DoubtfulFrom.has_value(); }
+
+void KeyKeeper::settleDoubt() {
+  if (!this->DoubtfulFrom || this->Writing != MapWrite::None) {
+    return;
+  }
+
+  auto Version = this->Lease.version();
+  bool Defeated = Version && *Version > *this->DoubtfulFrom;
+  if (!Defeated) {
+    this->Lease.renewSoon();
+    return;
+  }
+  if (this->View.completeAt() >= *Version) {
+    this->DoubtfulFrom.reset();
+  }
+}
+
+void KeyKeeper::onMapCommit(const StoreCommit &Commit, TimePoint Now) {
+  MapWrite Kind = this->Writing;
+  this->Writing = MapWrite::None;
+  if (Commit.Result.Outcome != CommitOutcome::Unknown) {
+    this->DoubtfulFrom.reset();
+  }
+
+  if (Commit.Result.Outcome != CommitOutcome::Committed) {
+    this->Actions.decided(KeyEvent::WriteFailed,
+                          nameOf(Commit.Result.Outcome));
+    this->WriteRetryAt = Now + WriteRetryPause;
+    this->LeasesWanted = this->LeasesWanted || Kind == MapWrite::Takeover;
+    if (Commit.Result.Outcome != CommitOutcome::NotRun) {
+      this->MeshAskedAt = Now;
+      this->Actions.readMesh();
+    }
+    return;
+  }
+
+  switch (Kind) {
+  case MapWrite::FirstLayout:
+    this->Actions.decided(KeyEvent::FirstLayout, "");
+    break;
+  case MapWrite::Adopt:
+    this->Actions.decided(KeyEvent::RunAdopted, this->Report.Run.Id);
+    break;
+  case MapWrite::Handover:
+    std::erase_if(this->Gifts, [](const Gift &Given) { return Given.LetGo; });
+    this->Actions.decided(KeyEvent::HandoverDone, "");
+    break;
+  case MapWrite::Takeover:
+    this->LeasesWanted = true;
+    break;
+  case MapWrite::Lost:
+  case MapWrite::None:
+    break;
+  }
+  this->Actions.grantsChanged();
+  this->tick(Now);
+}
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/KeyKeeper.h
@@ -0,0 +1,217 @@
+#pragma once
+
+#include "mesh/KeyAccess.h"
+#include "mesh/KeyPlanner.h"
+#include "mesh/MeshView.h"
+#include "mesh/OwnLease.h"
+
+#include <deque>
+
+namespace hemlockspar {
+
+/// What changed in the ownership of keys, for logs.
+enum class KeyEvent {
+  FirstLayout,
+  LeaseLost,
+  LeaseHeld,
+  RunAdopted,
+  HandoverBegun,
+  HandoverDone,
+  HandoverGivenUp,
+  ServerLost,
+  TakenOver,
+  WriteFailed,
+};
+
+/// Name of \p Event for logs.
+const char *nameOf(KeyEvent Event);
+
+/// What the keeper asks its surroundings to do. Nothing of it may call back
+/// into the keeper before it returns.
+class KeyKeeperActions {
+public:
+  virtual ~KeyKeeperActions() = default;
+
+  /// Writes this instance's lease; the answer goes to onLeaseCommit.
+  virtual void commitLease(const TableTransaction &Write) = 0;
+
+  /// Writes the map of owners; the answer goes to onMapCommit.
+  virtual void commitMap(const TableTransaction &Write) = 0;
+
+  /// Reads the table of leases; the answer goes to onLeases.
+  virtual void readLeases() = 0;
+
+  /// Reads the table of the mesh as a whole into the view.
+  virtual void readMesh() = 0;
+
+  /// What the backend server may hold has changed.
+  virtual void grantsChanged() = 0;
+
+  virtual void decided(KeyEvent Event, const std::string &Detail) = 0;
+};
+
+/// Decides which keys the backend server beside this instance holds, and moves
+/// keys between instances by conditional writes of one row. The rules that
+/// keep one owner a key:
+///  - the backend server is granted keys only under this instance's lease, for
+///    no longer than the lease lasts, and only with a map of owners at least
+///    as new as the lease;
+///  - while the lease lasts, only this process takes keys from its instance,
+///    and only once the backend server has let them go or its grant has run
+///    out;
+///  - others take keys after the lease has ended, in a transaction that also
+///    ends its row.
+/// Free of I/O; lives as long as the process.
+class KeyKeeper : public KeyAccess {
+public:
+  struct Terms {
+    /// How often the backend server reports.
+    Duration Heartbeat = std::chrono::seconds(1);
+
+    /// Longest grant; the platform's bound.
+    Duration LongestHold = std::chrono::seconds(10);
+  };
+
+  KeyKeeper(InstanceId Instance, std::uint64_t Process, Terms Bounds,
+            const MeshView &View, KeyKeeperActions &Actions, TimePoint Now);
+
+  /// The backend server reported; newer than all reports before it.
+  void onReport(const ServerReport &Report, TimePoint Now);
+
+  /// The backend server stops soon, though it may still hold keys.
+  void onLeaving(TimePoint Now);
+
+  /// No process listens at the backend server's address.
+  void onServerRefused(TimePoint Now);
+
+  void onLeaseCommit(const StoreCommit &Commit, TimePoint SentAt,
+                     TimePoint Now);
+  void onMapCommit(const StoreCommit &Commit, TimePoint Now);
+  void onLeases(const std::optional<StoreRows> &Rows, TimePoint SentAt,
+                TimePoint Now);
+
+  /// A request could not reach the instance that owns its key.
+  void suspectOwners() { this->LeasesWanted = true; }
+
+  /// Takes the next step, where one is due. Called often.
+  void tick(TimePoint Now);
+
+  /// What to answer a report that came at \p ReceivedAt; nothing while
+  /// nothing may be granted.
+  std::optional<KeyGrants> grant(TimePoint ReceivedAt, TimePoint Now);
+
+  /// Whether a request for \p Key may be sent to the backend server.
+  bool serves(KeyNumber Key, TimePoint Now) const override;
+
+  /// Whether \p Key belongs here and will be served once the backend server
+  /// has been granted it.
+  bool expects(KeyNumber Key) const override;
+
+  /// Whether the backend server holds no key at present.
+  bool holdsNothing(TimePoint Now) const {
+    return this->Granted.empty() || Now >= this->GrantedUntil;
+  }
+
+  /// A request for \p Key held a slot for \p Busy.
+  void recordLoad(KeyNumber Key, Duration Busy, TimePoint Now) override {
+    this->Loads.record(Key, Busy, Now);
+  }
+
+  /// Share of the slots that are busy; above 1 when requests wait.
+  void setLoad(double Busy) { this->OwnLoad = Busy; }
+
+  /// How long a grant lasts at most.
+  Duration holdTime() const;
+
+private:
+  /// Keys on their way to another instance.
+  struct Gift {
+    KeySpan Keys;
+    KeyHolder To;
+    TimePoint Since;
+    std::vector<ReleasedKeys> Released;
+    bool LetGo = false;
+  };
+
+  enum class MapWrite { None, FirstLayout, Adopt, Handover, Lost, Takeover };
+
+  struct LeaseSeen {
+    KeyLease Row;
+    RowVersion Version = 0;
+  };
+
+  const std::string &service() const { return this->Report.Service; }
+  KeyHolder self() const { return {this->Instance, this->Report.Run}; }
+  const MeshView::VersionedKeyMap *map() const;
+  bool mayAct(TimePoint Now) const;
+  bool serverLost(TimePoint Now) const;
+  bool isGiving(const KeySpan &Keys) const;
+  bool inDoubt() const;
+  void settleDoubt();
+
+  void tendLease(TimePoint Now);
+  void tendMap(TimePoint Now);
+  bool tryFirstLayout(TimePoint Now);
+  bool tryAdopt();
+  bool tryFinishGifts();
+  bool tryGiveUpServer(TimePoint Now);
+  bool tryTakeover(TimePoint Now);
+  void planGifts(TimePoint Now);
+  void planLeaving(TimePoint Now);
+  void begin(const PlannedGift &Planned, TimePoint Now);
+  void noteReleases(const ServerReport &Report);
+  void dropStaleGifts(TimePoint Now);
+
+  std::vector<KeyMember> members(bool WithSelf, TimePoint Now) const;
+  std::vector<KeySpan> lostKeys(const KeyMap &Map,
+                                TableTransaction &Write) const;
+  void write(MapWrite Kind, const KeyMap &Fresh, TableTransaction Write);
+  bool writeAsOwner(MapWrite Kind, const KeyMap &Fresh);
+
+  InstanceId Instance;
+  Terms Bounds;
+  const MeshView &View;
+  KeyKeeperActions &Actions;
+
+  StoreClock Clock;
+  OwnLease Lease;
+  bool LeaseHeld = false;
+
+  ServerReport Report;
+  bool Reported = false;
+  bool Leaving = false;
+  bool Refused = false;
+  TimePoint ReportedAt;
+
+  std::vector<GrantedKeys> Granted;
+
+  /// The backend server may be sent requests until then.
+  TimePoint GrantedUntil;
+
+  /// It may hold keys until then, whatever its clock and the way there did.
+  TimePoint HoldEnd;
+
+  std::vector<Gift> Gifts;
+  MapWrite Writing = MapWrite::None;
+
+  /// A write that takes keys from here got no answer. It may be done later, as
+  /// long as the lease's row has this version.
+  std::optional<RowVersion> DoubtfulFrom;
+  bool DoubtfulLoss = false;
+  TimePoint WriteRetryAt;
+  TimePoint NextGiftAt;
+
+  std::map<InstanceId, LeaseSeen> Leases;
+  std::optional<Duration> LeasesAt;
+  bool LeasesWanted = true;
+  bool LeasesAsked = false;
+  TimePoint NextLeasesAt;
+  TimePoint MeshAskedAt;
+  std::size_t MembersSeen = 0;
+  TimePoint MembersChangedAt;
+
+  KeyLoads Loads;
+  double OwnLoad = 0;
+};
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/MeshDaemon.cpp
@@ -0,0 +1,384 @@
+#include "mesh/MeshDaemon.h"
+
+#include "core/Log.h"
+#include "mesh/Ingress.h"
+#include "mesh/ServerDesk.h"
+#include "mesh/StorePath.h"
+#include "mesh/StoreSync.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+namespace hemlockspar {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How often waiting work is looked at: leases and moves of keys.
+constexpr auto KeeperTick = std::chrono::milliseconds(100);
+
+/// After SIGTERM the platform notices within two of its questions, one a
+/// second, that no more callers are to be sent here.
+constexpr auto NoticeTime = std::chrono::milliseconds(2600);
+
+/// A stopping process ends once it has been idle this long.
+constexpr auto IdleBeforeEnd = std::chrono::milliseconds(300);
+
+/// Kept free before the platform ends the process by force.
+constexpr auto EndMargin = std::chrono::milliseconds(400);
+
+constexpr auto StopTick = std::chrono::milliseconds(50);
+
+std::uint64_t chooseProcessNumber() {
+  auto Now = std::chrono::system_clock::now().time_since_epoch().count();
+  auto Steady = BootClock::now().time_since_epoch().count();
+  return static_cast<std::uint64_t>(Now) ^
+         (static_cast<std::uint64_t>(Steady) << 20);
+}
+
+/// All of one daemon. Everything runs on one thread: at some tens of requests
+/// a second on a fifth of a core, handing requests between threads costs more
+/// wake-ups than it saves.
+class MeshDaemon : private KeyKeeperActions {
+public:
+  MeshDaemon(const MeshSettings &Config, std::string SettingsPath,
+             const MeshAdapters &Adapters);
+
+  int run();
+
+private:
+  absl::Status listen();
+  void applyConfiguration();
+  void onServerChanged();
+  std::vector<Address> relayPeers() const;
+  HttpResponse serveInner(HttpRequest &Request, CallerWatch &Watch,
+                          const asio::yield_context &Yield);
+  HttpResponse serveReadiness(const HttpRequest &Request) const;
+  bool isReady() const;
+  bool isKeyed() const;
+  void tick();
+  void awaitSignal();
+  void reload();
+  void beginStop();
+  void checkStopped();
+
+  // KeyKeeperActions
+  void commitLease(const TableTransaction &Write) override;
+  void commitMap(const TableTransaction &Write) override;
+  void readLeases() override;
+  void readMesh() override;
+  void grantsChanged() override;
+  void decided(KeyEvent Event, const std::string &Detail) override;
+
+  const MeshSettings &Config;
+  std::string SettingsPath;
+  const MeshAdapters &Adapters;
+  asio::io_context Io;
+
+  MeshView View;
+  StorePath Path;
+  std::unique_ptr<Store> Rows;
+  StoreSync Sync;
+  LocalServer Server;
+  KeyKeeper Keeper;
+  Gate Way;
+  Ingress Requests;
+  ServerDesk Desk;
+
+  HttpServer Callers;
+  HttpServer Inner;
+  HttpServer Reports;
+  HttpServer Readiness;
+
+  asio::steady_timer Ticker;
+  asio::steady_timer StopTimer;
+  asio::signal_set Signals;
+  std::optional<TimePoint> StoppingSince;
+  TimePoint BusyAt;
+};
+
+HttpLimits limitsOf(const MeshSettings &Config) {
+  HttpLimits Limits;
+  Limits.Connections = Config.Connections;
+  return Limits;
+}
+
+MeshDaemon::MeshDaemon(const MeshSettings &Config, std::string SettingsPath,
+                       const MeshAdapters &Adapters)
+    : Config(Config), SettingsPath(std::move(SettingsPath)),
+      Adapters(Adapters), Io(1),
+      Path(Io, Config.Store, Config.Inner.Host,
+           [this] { return this->relayPeers(); }),
+      Rows(Adapters.MakeStore(Io, Path)),
+      Sync(Io, *Rows, View, *Adapters.Configurations), Server(Config, View),
+      Keeper(Config.Instance, chooseProcessNumber(),
+             {Config.Heartbeat, Config.LongestHold}, View, *this,
+             BootClock::now()),
+      Way(Io, Server, Keeper, *Adapters.Requests,
+          [this] {
+            this->Server.onRefused();
+            this->Keeper.onServerRefused(BootClock::now());
+            this->onServerChanged();
+          }),
+      Requests(Io, Config, View, Server, Way, *Adapters.Requests,
+               [this] { this->Keeper.suspectOwners(); }),
+      Desk(Io, View, Server, Keeper, *Adapters.Reports,
+           [this] { this->onServerChanged(); }),
+      Callers(Io, limitsOf(Config),
+              [this](HttpRequest &Request, CallerWatch &Watch,
+                     const asio::yield_context &Yield) {
+                return this->Requests.serveCaller(Request, Watch, Yield);
+              }),
+      Inner(Io, limitsOf(Config),
+            [this](HttpRequest &Request, CallerWatch &Watch,
+                   const asio::yield_context &Yield) {
+              return this->serveInner(Request, Watch, Yield);
+            }),
+      Reports(Io, limitsOf(Config),
+              [this](HttpRequest &Request, CallerWatch &,
+                     const asio::yield_context &Yield) {
+                return this->Desk.serve(Request, Yield);
+              }),
+      Readiness(Io, limitsOf(Config),
+                [this](HttpRequest &Request, CallerWatch &,
+                       const asio::yield_context &) {
+                  return this->serveReadiness(Request);
+                }),
+      Ticker(Io), StopTimer(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP) {
+  this->View.listen([this] { this->applyConfiguration(); });
+}
+
+absl::Status MeshDaemon::listen() {
+  for (const absl::Status &Listening :
+       {this->Callers.listen(this->Config.Callers),
+        this->Inner.listen(this->Config.Inner),
+        this->Reports.listen(this->Config.Reports),
+        this->Readiness.listen(this->Config.Readiness)}) {
+    if (!Listening.ok()) {
+      return Listening;
+    }
+  }
+  return absl::OkStatus();
+}
+
+int MeshDaemon::run() {
+  absl::Status Listening = this->listen();
+  if (!Listening.ok()) {
+    LogLine(LogLevel::Error, "daemon", "start_failed")
+        .with("error", std::string(Listening.message()));
+    return 1;
+  }
+
+  this->awaitSignal();
+  this->Sync.start();
+  this->tick();
+  LogLine(LogLevel::Info, "daemon", "started")
+      .with("instance", this->Config.Instance)
+      .with("service", this->Config.Service)
+      .with("callers", this->Config.Callers.toText())
+      .with("inner", this->Config.Inner.toText());
+
+  this->Io.run();
+  LogLine(LogLevel::Info, "daemon", "stopped");
+  return 0;
+}
+
+void MeshDaemon::applyConfiguration() {
+  const ConfigurationPtr &InForce = this->View.configuration();
+  if (!InForce) {
+    return;
+  }
+
+  HttpLimits Limits = limitsOf(this->Config);
+  Limits.HeaderBytes = InForce->Limits.HeaderBytes;
+  Limits.BodyBytes = InForce->Limits.BodyBytes;
+  Limits.IdleTimeout = std::chrono::ceil<std::chrono::milliseconds>(
+      InForce->Limits.IdleTimeout);
+  this->Callers.setLimits(Limits);
+
+  // Daemons add one header of their own and keep connections longer.
+  Limits.HeaderBytes += 1024;
+  Limits.IdleTimeout = std::chrono::seconds(60);
+  this->Inner.setLimits(Limits);
+}
+
+void MeshDaemon::onServerChanged() {
+  if (this->Server.known()) {
+    this->Sync.setOwnRow(this->Server.toRow());
+  }
+}
+
+std::vector<Address> MeshDaemon::relayPeers() const {
+  std::vector<Address> Near;
+  std::vector<Address> Far;
+  for (const auto &[Name, Row] : this->View.instances()) {
+    if (Name != this->Config.Instance) {
+      (Row.Region == this->Config.Region ? Near : Far).push_back(Row.Inner);
+    }
+  }
+  Near.insert(Near.end(), Far.begin(), Far.end());
+  return Near;
+}
+
+HttpResponse MeshDaemon::serveInner(HttpRequest &Request, CallerWatch &Watch,
+                                    const asio::yield_context &Yield) {
+  return StorePath::isRelayCall(Request)
+             ? this->Path.relay(Request, Yield)
+             : this->Requests.servePeer(Request, Watch, Yield);
+}
+
+bool MeshDaemon::isReady() const {
+  return this->View.configuration() && this->View.completeAt() > 0 &&
+         !this->StoppingSince;
+}
+
+HttpResponse MeshDaemon::serveReadiness(const HttpRequest &Request) const {
+  std::string Path =
+      pathOf({Request.target().data(), Request.target().size()});
+  if (Path != this->Adapters.ReadinessPath) {
+    return HttpResponse(http::status::not_found, 11);
+  }
+  return HttpResponse(this->isReady() ? http::status::ok
+                                      : http::status::service_unavailable,
+                      11);
+}
+
+bool MeshDaemon::isKeyed() const {
+  const ConfigurationPtr &InForce = this->View.configuration();
+  return InForce && InForce->isKeyed(this->Server.service());
+}
+
+void MeshDaemon::tick() {
+  TimePoint Now = BootClock::now();
+  if (this->Way.load().Waiting > 0) {
+    this->Way.expireWaiting();
+  }
+  if (this->isKeyed()) {
+    this->Keeper.setLoad(this->Way.busyShare(Now));
+    this->Keeper.tick(Now);
+  }
+  this->Ticker.expires_after(KeeperTick);
+  this->Ticker.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error) {
+      this->tick();
+    }
+  });
+}
+
+// Signals
+
+void MeshDaemon::awaitSignal() {
+  this->Signals.async_wait(
+      [this](const boost::system::error_code &Error, int Signal) {
+        if (Error) {
+          return;
+        }
+        if (Signal == SIGHUP) {
+          this->reload();
+        } else if (!this->StoppingSince) {
+          this->beginStop();
+        }
+        this->awaitSignal();
+      });
+}
+
+void MeshDaemon::reload() {
+  std::ifstream File(this->SettingsPath);
+  std::stringstream Text;
+  Text << File.rdbuf();
+  auto Fresh = parseMeshSettings(Text.str(), this->SettingsPath);
+  if (!File || !Fresh.ok()) {
+    LogLine(LogLevel::Warning, "daemon", "reload_refused")
+        .with("path", this->SettingsPath)
+        .with("reason", File ? std::string(Fresh.status().message())
+                             : std::string("the file cannot be read"));
+    return;
+  }
+  setLogLevel(Fresh->LogLevel);
+  LogLine(LogLevel::Info, "daemon", "reloaded")
+      .with("log_level", Fresh->LogLevel);
+}
+
+void MeshDaemon::beginStop() {
+  TimePoint Now = BootClock::now();
+  this->StoppingSince = Now;
+  this->BusyAt = Now;
+  this->Requests.beginStop();
+  this->Callers.refuseKeepAlive();
+  LogLine(LogLevel::Info, "daemon", "stop_begun")
+      .with("in_flight", static_cast<long long>(this->Callers.busyCount()));
+  this->checkStopped();
+}
+
+void MeshDaemon::checkStopped() {
+  TimePoint Now = BootClock::now();
+  bool Busy = this->Callers.busyCount() + this->Inner.busyCount() > 0;
+  if (Busy) {
+    this->BusyAt = Now;
+  }
+
+  Duration Age = Now - *this->StoppingSince;
+  bool Idle = Age >= NoticeTime && Now - this->BusyAt >= IdleBeforeEnd;
+  if (Idle || Age >= this->Config.StopTime - EndMargin) {
+    this->Io.stop();
+    return;
+  }
+  this->StopTimer.expires_after(StopTick);
+  this->StopTimer.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error) {
+      this->checkStopped();
+    }
+  });
+}
+
+// KeyKeeperActions
+
+void MeshDaemon::commitLease(const TableTransaction &Write) {
+  TimePoint SentAt = BootClock::now();
+  this->Rows->commit(Write, [this, SentAt](const StoreCommit &Commit) {
+    this->Keeper.onLeaseCommit(Commit, SentAt, BootClock::now());
+  });
+}
+
+void MeshDaemon::commitMap(const TableTransaction &Write) {
+  this->Rows->commit(Write, [this, Write](const StoreCommit &Commit) {
+    if (Commit.Result.Outcome == CommitOutcome::Committed) {
+      StoreRows Written;
+      Written.Rows = writtenRows(Write, Commit.Result.Version).Rows;
+      this->View.apply(Written);
+    }
+    this->Keeper.onMapCommit(Commit, BootClock::now());
+  });
+}
+
+void MeshDaemon::readLeases() {
+  TimePoint SentAt = BootClock::now();
+  this->Rows->readTable(
+      tables::Leases, [this, SentAt](const std::optional<StoreRows> &Read) {
+        this->Keeper.onLeases(Read, SentAt, BootClock::now());
+      });
+}
+
+void MeshDaemon::readMesh() { this->Sync.readMesh(); }
+
+void MeshDaemon::grantsChanged() {}
+
+void MeshDaemon::decided(KeyEvent Event, const std::string &Detail) {
+  LogLine(LogLevel::Info, "keys", nameOf(Event))
+      .with("service", this->Server.service())
+      .with("detail", Detail);
+}
+
+} // namespace
+
+int runMeshDaemon(const MeshSettings &Config, const std::string &SettingsPath,
+                  const MeshAdapters &Adapters) {
+  std::signal(SIGPIPE, SIG_IGN);
+  return MeshDaemon(Config, SettingsPath, Adapters).run();
+}
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/MeshView.cpp
@@ -0,0 +1,142 @@
+#include "mesh/MeshView.h"
+
+#include "core/Log.h"
+
+#include <set>
+
+namespace hemlockspar {
+
+namespace {
+
+constexpr std::string_view InstancePrefix = "hemlockspar/instance/";
+constexpr std::string_view KeyMapPrefix = "hemlockspar/keys/";
+
+/// The rest of \p Key behind \p Prefix; nothing when it begins otherwise.
+std::optional<std::string> nameBehind(const std::string &Key,
+                                      std::string_view Prefix) {
+  return Key.starts_with(Prefix)
+             ? std::optional(Key.substr(Prefix.size()))
+             : std::nullopt;
+}
+
+void logUnreadable(const TableRow &Row) {
+  LogLine(LogLevel::Warning, "view", "row_ignored")
+      .with("row", Row.Key)
+      .with("version", static_cast<long long>(Row.Version))
+      .with("reason", "the row's text cannot be read");
+}
+
+} // namespace
+
+std::string MeshView::instanceKey(const InstanceId &Instance) {
+  return std::string(InstancePrefix) + Instance;
+}
+
+std::string MeshView::keyMapKey(const std::string &Service) {
+  return std::string(KeyMapPrefix) + Service;
+}
+
+bool MeshView::adopt(ConfigurationPtr Fresh) {
+  if (this->InForce && Fresh->Version <= this->InForce->Version) {
+    return false;
+  }
+
+  LogLine(LogLevel::Info, "view", "configuration_in_force")
+      .with("version", static_cast<long long>(Fresh->Version))
+      .with("before", this->InForce
+                          ? static_cast<long long>(this->InForce->Version)
+                          : 0)
+      .with("routes", static_cast<long long>(Fresh->Routes.size()));
+  this->InForce = std::move(Fresh);
+  this->notify();
+  return true;
+}
+
+void MeshView::apply(const StoreRows &Rows) {
+  for (const TableRow &Row : Rows.Rows) {
+    this->applyRow(Row);
+  }
+
+  if (Rows.Complete && Rows.Version >= this->CompleteAt) {
+    this->removeUnlisted(Rows);
+    this->CompleteAt = Rows.Version;
+  }
+  this->notify();
+}
+
+void MeshView::applyRow(const TableRow &Row) {
+  RowVersion &Known = this->Versions[Row.Key];
+  if (Row.Version <= Known) {
+    return;
+  }
+  Known = Row.Version;
+
+  if (auto Instance = nameBehind(Row.Key, InstancePrefix)) {
+    auto Parsed = Row.Value ? InstanceRow::fromText(*Row.Value) : std::nullopt;
+    if (Parsed && Parsed->Instance == *Instance) {
+      this->Instances[*Instance] = std::move(*Parsed);
+      return;
+    }
+    if (Row.Value) {
+      logUnreadable(Row);
+    }
+    this->Instances.erase(*Instance);
+  } else if (auto Service = nameBehind(Row.Key, KeyMapPrefix)) {
+    auto Parsed = Row.Value ? KeyMap::fromText(*Row.Value) : std::nullopt;
+    if (Parsed) {
+      this->KeyMaps[*Service] = {std::move(*Parsed), Row.Version};
+      return;
+    }
+    if (Row.Value) {
+      logUnreadable(Row);
+    }
+    this->KeyMaps.erase(*Service);
+  }
+}
+
+void MeshView::removeUnlisted(const StoreRows &Rows) {
+  std::set<std::string> Listed;
+  for (const TableRow &Row : Rows.Rows) {
+    Listed.insert(Row.Key);
+  }
+
+  for (const auto &[Key, Version] : this->Versions) {
+    if (Version > Rows.Version || Listed.contains(Key)) {
+      continue;
+    }
+    if (auto Instance = nameBehind(Key, InstancePrefix)) {
+      this->Instances.erase(*Instance);
+    } else if (auto Service = nameBehind(Key, KeyMapPrefix)) {
+      this->KeyMaps.erase(*Service);
+    }
+  }
+}
+
+const InstanceRow *MeshView::findInstance(const InstanceId &Instance) const {
+  auto Place = this->Instances.find(Instance);
+  return Place == this->Instances.end() ? nullptr : &Place->second;
+}
+
+RowVersion MeshView::instanceVersion(const InstanceId &Instance) const {
+  auto Place = this->Versions.find(instanceKey(Instance));
+  bool Present = Place != this->Versions.end() && this->findInstance(Instance);
+  return Present ? Place->second : 0;
+}
+
+const MeshView::VersionedKeyMap *
+MeshView::findKeyMap(const std::string &Service) const {
+  auto Place = this->KeyMaps.find(Service);
+  return Place == this->KeyMaps.end() ? nullptr : &Place->second;
+}
+
+void MeshView::listen(std::function<void()> OnChange) {
+  this->Listeners.push_back(std::move(OnChange));
+}
+
+void MeshView::notify() {
+  for (const auto &OnChange : this->Listeners) {
+    OnChange();
+  }
+}
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/ServerLoad.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/Clock.h"
+
+#include <cstdint>
+
+namespace hemlockspar {
+
+/// How busy a backend server is, as the daemon beside it counts.
+struct ServerLoad {
+  std::uint32_t Running = 0;
+  std::uint32_t Waiting = 0;
+  std::uint32_t Slots = 1;
+
+  /// Mean time that a request holds a slot.
+  Duration Mean{};
+};
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/Store.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "coordination/Table.h"
+#include "core/Clock.h"
+
+#include <functional>
+
+namespace hemlockspar {
+
+/// Which table a row key belongs to: keys begin with "<table>/".
+namespace tables {
+/// Written by operators only.
+inline constexpr char Operator[] = "op";
+
+/// Instances and owners of keys; every daemon follows it.
+inline constexpr char Mesh[] = "hemlockspar";
+
+/// Leases; read when needed, since they change every few seconds.
+inline constexpr char Leases[] = "hemlockspar-leases";
+} // namespace tables
+
+/// The key of row \p Name in \p Table.
+std::string rowKey(const std::string &Table, const std::string &Name);
+
+/// What is known of a transaction, and the store's clock when it answered.
+struct StoreCommit {
+  CommitResult Result;
+
+  /// The store's own steady clock; nothing when there was no answer.
+  std::optional<Duration> StoreClock;
+};
+
+/// Rows of one table. Complete: all rows of it; otherwise the rows that
+/// changed after the version that was asked for.
+struct StoreRows {
+  RowVersion Version = 0;
+  bool Complete = false;
+  std::vector<TableRow> Rows;
+  std::optional<Duration> StoreClock;
+};
+
+/// How following a table went.
+enum class FollowOutcome {
+  /// Rows holds what changed; perhaps nothing.
+  Changes,
+  /// The history asked for is gone: read the table as a whole.
+  HistoryLost,
+  /// No answer, or the store does not serve now.
+  Failed,
+};
+
+struct FollowResult {
+  FollowOutcome Outcome = FollowOutcome::Failed;
+  StoreRows Rows;
+};
+
+/// The platform's store of versioned rows with conditional transactions. Keys
+/// of rows name their table (see rowKey). Each callback is called once, also
+/// when no answer comes, and on the thread of the caller.
+class Store {
+public:
+  using CommitDone = std::function<void(const StoreCommit &Commit)>;
+  using ReadDone = std::function<void(const std::optional<StoreRows> &Rows)>;
+  using FollowDone = std::function<void(const FollowResult &Result)>;
+
+  virtual ~Store() = default;
+
+  /// Runs a transaction.
+  virtual void commit(const TableTransaction &Transaction,
+                      CommitDone OnDone) = 0;
+
+  /// Reads all rows of \p Table as of one moment.
+  virtual void readTable(const std::string &Table, ReadDone OnDone) = 0;
+
+  /// Waits up to \p Wait for changes of \p Table after version \p After.
+  virtual void follow(const std::string &Table, RowVersion After, Duration Wait,
+                      FollowDone OnDone) = 0;
+};
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/StorePath.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "mesh/StoreTransport.h"
+
+#include <functional>
+
+namespace hemlockspar {
+
+/// Carries calls to the store: directly while that works, and through another
+/// instance while the store does not answer this one. Lives as long as the
+/// process.
+class StorePath : public StoreTransport {
+public:
+  /// \p Peers gives the addresses of other instances that may be asked, the
+  /// best first. Connections leave from \p LocalHost.
+  StorePath(boost::asio::io_context &Io, Address Store,
+            const std::string &LocalHost,
+            std::function<std::vector<Address>()> Peers);
+
+  ExchangeResult exchange(HttpRequest &Request, Duration Timeout,
+                          const boost::asio::yield_context &Yield) override;
+
+  /// Answers another instance's call; directly only, and not at all while the
+  /// store does not answer this instance.
+  HttpResponse relay(HttpRequest &Request,
+                     const boost::asio::yield_context &Yield);
+
+  /// Whether \p Request is such a call.
+  static bool isRelayCall(const HttpRequest &Request);
+
+private:
+  bool directAllowed() const;
+  ExchangeResult direct(HttpRequest &Request, Duration Timeout,
+                        const boost::asio::yield_context &Yield);
+  ExchangeResult throughPeers(HttpRequest &Request, Duration Timeout,
+                              const boost::asio::yield_context &Yield);
+  void noteDirect(bool Works, const std::string &Why);
+
+  Address Store;
+  std::function<std::vector<Address>()> Peers;
+  HttpClient StoreClient;
+  HttpClient PeerClient;
+  bool Works = true;
+  TimePoint RetryAt;
+  std::size_t NextPeer = 0;
+};
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/StoreSync.cpp
@@ -0,0 +1,181 @@
+#include "mesh/StoreSync.h"
+
+#include "core/Log.h"
+
+namespace hemlockspar {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// The store holds an answer this long when nothing changes. Each answer is a
+/// priced call; silent connections are noticed by other means.
+constexpr auto LongestWait = std::chrono::seconds(20);
+
+/// After a call that failed.
+constexpr auto RetryPause = std::chrono::milliseconds(300);
+
+/// At a start all instances write their rows within a moment; each answer in
+/// between would be a call of its own.
+constexpr auto MeshPause = std::chrono::milliseconds(120);
+
+} // namespace
+
+StoreSync::StoreSync(asio::io_context &Io, Store &Rows, MeshView &View,
+                     const ConfigurationCodec &Codec)
+    : Rows(Rows), View(View), Codec(Codec),
+      Operator(Io, tables::Operator, Duration::zero()),
+      Mesh(Io, tables::Mesh, MeshPause), WriteTimer(Io) {}
+
+void StoreSync::start() {
+  this->advance(this->Operator);
+  this->advance(this->Mesh);
+}
+
+void StoreSync::advance(Feed &Followed) {
+  if (Followed.Known) {
+    this->Rows.follow(Followed.Table, Followed.Version, LongestWait,
+                      [this, &Followed](const FollowResult &Result) {
+                        this->onFollowed(Followed, Result);
+                      });
+    return;
+  }
+
+  this->Rows.readTable(Followed.Table,
+                       [this, &Followed](const std::optional<StoreRows> &Read) {
+                         if (!Read) {
+                           this->advanceAfter(Followed, RetryPause);
+                           return;
+                         }
+                         this->take(Followed, *Read);
+                         Followed.Known = true;
+                         Followed.Version = Read->Version;
+                         this->advance(Followed);
+                       });
+}
+
+void StoreSync::advanceAfter(Feed &Followed, Duration Pause) {
+  Followed.Timer.expires_after(Pause);
+  Followed.Timer.async_wait(
+      [this, &Followed](const boost::system::error_code &Error) {
+        if (!Error) {
+          this->advance(Followed);
+        }
+      });
+}
+
+void StoreSync::onFollowed(Feed &Followed, const FollowResult &Result) {
+  switch (Result.Outcome) {
+  case FollowOutcome::HistoryLost:
+    LogLine(LogLevel::Info, "store", "history_lost")
+        .with("table", Followed.Table)
+        .with("version", static_cast<long long>(Followed.Version));
+    Followed.Known = false;
+    this->advance(Followed);
+    return;
+  case FollowOutcome::Failed:
+    this->advanceAfter(Followed, RetryPause);
+    return;
+  case FollowOutcome::Changes:
+    break;
+  }
+
+  this->take(Followed, Result.Rows);
+  Followed.Version = std::max(Followed.Version, Result.Rows.Version);
+  bool Pause =
+      !Result.Rows.Rows.empty() && Followed.Pause > Duration::zero();
+  if (Pause) {
+    this->advanceAfter(Followed, Followed.Pause);
+  } else {
+    this->advance(Followed);
+  }
+}
+
+void StoreSync::take(Feed &Followed, const StoreRows &Rows) {
+  if (&Followed == &this->Mesh) {
+    this->View.apply(Rows);
+    return;
+  }
+  for (const TableRow &Row : Rows.Rows) {
+    this->takeConfiguration(Row);
+  }
+}
+
+void StoreSync::takeConfiguration(const TableRow &Row) {
+  bool Wanted = Row.Key == rowKey(tables::Operator, this->Codec.rowName());
+  if (!Wanted || !Row.Value) {
+    return;
+  }
+
+  auto Read = this->Codec.decode(*Row.Value);
+  if (!Read.ok()) {
+    LogLine(LogLevel::Warning, "store", "configuration_ignored")
+        .with("row_version", static_cast<long long>(Row.Version))
+        .with("reason", std::string(Read.status().message()));
+    return;
+  }
+  this->View.adopt(std::make_shared<const Configuration>(std::move(*Read)));
+}
+
+void StoreSync::readMesh() {
+  this->Rows.readTable(tables::Mesh,
+                       [this](const std::optional<StoreRows> &Read) {
+                         if (Read) {
+                           this->View.apply(*Read);
+                         }
+                       });
+}
+
+void StoreSync::setOwnRow(const InstanceRow &Row) {
+  bool Same = this->Wanted && *this->Wanted == Row;
+  this->Wanted = Row;
+  if (!Same && !this->Writing) {
+    this->writeOwnRow();
+  }
+}
+
+void StoreSync::writeOwnRow() {
+  InstanceRow Row = *this->Wanted;
+  const InstanceRow *Known = this->View.findInstance(Row.Instance);
+  if (Known && *Known == Row) {
+    this->Writing = false;
+    return;
+  }
+
+  this->Writing = true;
+  std::string Key = MeshView::instanceKey(Row.Instance);
+  TableTransaction Write;
+  Write.Conditions.push_back({Key, this->View.instanceVersion(Row.Instance)});
+  Write.Writes.push_back({Key, Row.toText()});
+  this->Rows.commit(Write, [this, Row](const StoreCommit &Commit) {
+    this->onOwnRowWritten(Row, Commit);
+  });
+}
+
+void StoreSync::onOwnRowWritten(const InstanceRow &Written,
+                                const StoreCommit &Commit) {
+  if (Commit.Result.Outcome == CommitOutcome::Committed) {
+    TableTransaction Write;
+    Write.Writes.push_back(
+        {MeshView::instanceKey(Written.Instance), Written.toText()});
+    StoreRows Rows;
+    Rows.Rows = writtenRows(Write, Commit.Result.Version).Rows;
+    this->View.apply(Rows);
+    this->writeOwnRow();
+    return;
+  }
+
+  // Another version of the row is there, or the write may be done late: the
+  // table tells.
+  if (Commit.Result.Outcome != CommitOutcome::NotRun) {
+    this->readMesh();
+  }
+  this->WriteTimer.expires_after(RetryPause);
+  this->WriteTimer.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error) {
+      this->writeOwnRow();
+    }
+  });
+}
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/StoreSync.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "mesh/MeshView.h"
+#include "mesh/ReportCodec.h"
+#include "mesh/Store.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace hemlockspar {
+
+/// Keeps the view in step with the store: awaits changes of the operator's
+/// table and of the mesh's, and writes this instance's own row.
+class StoreSync {
+public:
+  StoreSync(boost::asio::io_context &Io, Store &Rows, MeshView &View,
+            const ConfigurationCodec &Codec);
+
+  void start();
+
+  /// The row that others are to see of this instance.
+  void setOwnRow(const InstanceRow &Row);
+
+  /// Reads the whole table of the mesh into the view.
+  void readMesh();
+
+private:
+  /// One table that is followed.
+  struct Feed {
+    Feed(boost::asio::io_context &Io, const char *Table, Duration Pause)
+        : Table(Table), Pause(Pause), Timer(Io) {}
+
+    std::string Table;
+
+    /// After changes, so that a series of them comes in one answer.
+    Duration Pause;
+    boost::asio::steady_timer Timer;
+    RowVersion Version = 0;
+    bool Known = false;
+  };
+
+  void advance(Feed &Followed);
+  void advanceAfter(Feed &Followed, Duration Pause);
+  void onFollowed(Feed &Followed, const FollowResult &Result);
+  void take(Feed &Followed, const StoreRows &Rows);
+  void takeConfiguration(const TableRow &Row);
+  void writeOwnRow();
+  void onOwnRowWritten(const InstanceRow &Written, const StoreCommit &Commit);
+
+  Store &Rows;
+  MeshView &View;
+  const ConfigurationCodec &Codec;
+  Feed Operator;
+  Feed Mesh;
+
+  boost::asio::steady_timer WriteTimer;
+  std::optional<InstanceRow> Wanted;
+  bool Writing = false;
+};
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/StoreTransport.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "net/HttpClient.h"
+
+namespace hemlockspar {
+
+/// Carries calls to the platform's store.
+class StoreTransport {
+public:
+  virtual ~StoreTransport() = default;
+
+  /// Sends \p Request and waits up to \p Timeout for the answer.
+  virtual ExchangeResult exchange(HttpRequest &Request, Duration Timeout,
+                                  const boost::asio::yield_context &Yield) = 0;
+};
+
+} // namespace hemlockspar
--- /dev/null
+++ b/mesh/Try.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "daemon/Answers.h"
+#include "mesh/ServerLoad.h"
+#include "mesh/ServerReport.h"
+
+namespace hemlockspar {
+
+/// Why a try at a request ended as it did.
+enum class TryReason {
+  None,
+  /// No instance serves the service, or none owns the key.
+  NoInstance,
+  /// The instance asked does not own the key.
+  NotOwner,
+  /// The key is being moved, or its grant has not reached the owner yet.
+  KeyMoving,
+  /// There is no backend server, or it is another service's.
+  ServerUnavailable,
+  /// The backend server or its daemon is about to stop.
+  Leaving,
+  /// The backend server refused the request.
+  ServerRefused,
+  /// It would wait for a slot for too long.
+  Busy,
+  /// No connection to the instance came about.
+  Unreachable,
+  /// A connection broke after the request was sent.
+  Broken,
+  /// What came back is not the backend server's answer to the request.
+  WrongAnswer,
+  /// The time for the request was over.
+  TimeOver,
+  CallerGone,
+};
+
+/// Name of \p Reason for logs and other daemons.
+const char *nameOf(TryReason Reason);
+std::optional<TryReason> tryReasonOf(const std::string &Name);
+
+/// What the daemon beside a backend server has to know of a request.
+struct TryTerms {
+  std::string RequestId;
+  std::string Service;
+  std::optional<KeyNumber> Key;
+
+  /// Requests of one route take about the same time.
+  std::string RouteName;
+
+  /// Lower ranks go first.
+  std::uint32_t Rank = 0;
+
+  /// An answer later than this is of no use.
+  TimePoint GiveUpAt;
+
+  /// It is refused at once when it would wait longer than this for a slot.
+  Duration MaxWait{};
+
+  /// The service of the machine where the request began.
+  std::string CallerService;
+};
+
+/// What a try at a request came to.
+struct TryResult {
+  RequestOutcome Outcome = RequestOutcome::NotRun;
+  TryReason Reason = TryReason::None;
+
+  /// Whether the backend server was sent the request.
+  bool Reached = false;
+
+  /// For Busy: how long it would have waited.
+  Duration Wait{};
+
+  /// How busy the backend server is; nothing when that is not known.
+  std::optional<ServerLoad> Load;
+
+  /// Set when the outcome is Answered.
+  HttpResponse Response;
+};
+
+/// A try that did not run.
+TryResult tryNotRun(TryReason Reason, Duration Wait = {});
+
+/// A try that may have run.
+TryResult tryUnknown(TryReason Reason);
+
+} // namespace hemlockspar
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -14,6 +14,15 @@
 
 namespace {
 
+constexpr std::string_view TimeoutWord = "timeout=";
+
+/// A request must not meet the server's close of an idle connection.
+constexpr auto CloseMargin = std::chrono::milliseconds(1000);
+
+/// Answers to earlier requests that are dropped before the connection is given
+/// up.
+constexpr int MostForeignAnswers = 3;
+
 constexpr std::array<const char *, 4> OutcomeNames = {"answered", "not_sent",
                                                       "too_late", "ambiguous"};
 
@@ -47,7 +56,8 @@
   while (!Free.empty()) {
     ConnectionPtr Peer = std::move(Free.back());
     Free.pop_back();
-    if (peek(Peer->Peer.socket()) == ConnectionSight::Quiet) {
+    bool Fresh = BootClock::now() < Peer->UsableUntil;
+    if (Fresh && peek(Peer->Peer.socket()) == ConnectionSight::Quiet) {
       return Peer;
     }
   }
@@ -56,8 +66,7 @@
 
 HttpClient::ConnectionPtr
 HttpClient::connect(const Address &Server, TimePoint Deadline,
-                    std::string &Error, const asio::yield_context &Yield) {
-  error_code Failure;
+                    error_code &Failure, const asio::yield_context &Yield) {
   auto Endpoint = Server.toEndpoint(Failure);
   auto Peer = std::make_unique<Connection>(this->Io);
 
@@ -70,11 +79,13 @@
     Peer->Peer.async_connect(Endpoint, Yield[Failure]);
   }
   if (Failure) {
-    Error = "connect: " + Failure.message();
     return nullptr;
   }
 
-  Peer->Peer.socket().set_option(asio::ip::tcp::no_delay(true), Failure);
+  error_code Ignored;
+  Peer->Peer.socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
+  watchForSilence(Peer->Peer.socket(), this->Bounds.Silence);
+  Peer->UsableUntil = BootClock::now() + this->Bounds.MaxIdle;
   return Peer;
 }
 
@@ -85,18 +96,35 @@
   }
 }
 
+TimePoint HttpClient::usableUntil(const HttpResponse &Last) const {
+  std::chrono::milliseconds Idle = this->Bounds.MaxIdle;
+
+  // "timeout=5, max=100": the server closes after that many idle seconds.
+  std::string Stated = headerOf(Last, "Keep-Alive");
+  std::size_t Place = Stated.find("timeout=");
+  if (Place != std::string::npos) {
+    long Seconds = std::atol(Stated.c_str() + Place + TimeoutWord.size());
+    auto Allowed = std::chrono::milliseconds(Seconds * 1000) - CloseMargin;
+    Idle = std::min(Idle, std::max(Allowed, std::chrono::milliseconds(0)));
+  }
+  return BootClock::now() + Idle;
+}
+
 ExchangeResult HttpClient::exchange(const Address &Server, HttpRequest &Request,
                                     const ExchangeTerms &Terms,
                                     const asio::yield_context &Yield) {
-  std::string Error;
+  error_code Failure;
   CallerWatch *Watch = Terms.Watch;
   ConnectionPtr Peer = this->takeIdle(Server);
 
   if (!Peer) {
-    Peer = this->connect(Server, Terms.Deadline, Error, Yield);
+    Peer = this->connect(Server, Terms.Deadline, Failure, Yield);
   }
   if (!Peer) {
-    return failed(ExchangeOutcome::NotSent, Error);
+    ExchangeResult Result =
+        failed(ExchangeOutcome::NotSent, "connect: " + Failure.message());
+    Result.Refused = Failure == asio::error::connection_refused;
+    return Result;
   }
   if (Watch && Watch->Gone) {
     return failed(ExchangeOutcome::NotSent, "caller gone");
@@ -140,23 +168,39 @@
     return failed(ExchangeOutcome::Ambiguous, "send: " + Error.message());
   }
 
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(this->Bounds.BodyBytes);
-  if (Request.method() == http::verb::head) {
-    Parser.skip(true);
-  }
+  return this->readAnswer(Peer, Request, Terms, Yield);
+}
 
-  http::async_read(Peer.Peer, Peer.Buffer, Parser, Yield[Error]);
-  if (Error) {
-    return failed(ExchangeOutcome::Ambiguous, "receive: " + Error.message());
-  }
+ExchangeResult HttpClient::readAnswer(Connection &Peer,
+                                      const HttpRequest &Request,
+                                      const ExchangeTerms &Terms,
+                                      const asio::yield_context &Yield) {
+  for (int Foreign = 0; Foreign <= MostForeignAnswers; ++Foreign) {
+    error_code Error;
+    http::response_parser<http::string_body> Parser;
+    Parser.body_limit(this->Bounds.BodyBytes);
+    if (Request.method() == http::verb::head) {
+      Parser.skip(true);
+    }
 
-  Peer.Peer.expires_never();
+    http::async_read(Peer.Peer, Peer.Buffer, Parser, Yield[Error]);
+    if (Error) {
+      return failed(ExchangeOutcome::Ambiguous, "receive: " + Error.message());
+    }
 
-  ExchangeResult Result;
-  Result.Outcome = ExchangeOutcome::Answered;
-  Result.Response = Parser.release();
-  return Result;
+    HttpResponse Response = Parser.release();
+    if (Terms.Belongs && !Terms.Belongs(Response)) {
+      continue;
+    }
+
+    Peer.Peer.expires_never();
+    Peer.UsableUntil = this->usableUntil(Response);
+    ExchangeResult Result;
+    Result.Outcome = ExchangeOutcome::Answered;
+    Result.Response = std::move(Response);
+    return Result;
+  }
+  return failed(ExchangeOutcome::Ambiguous, "answers to other requests only");
 }
 
 void HttpClient::forgetOthers(const std::set<Address> &Present) {
@@ -167,11 +211,11 @@
 
 void HttpClient::warm(const Address &Server, std::size_t Count,
                       const asio::yield_context &Yield) {
-  std::string Error;
+  error_code Failure;
 
   while (this->Idle[Server].size() < Count) {
     ConnectionPtr Peer = this->connect(
-        Server, BootClock::now() + this->Bounds.ConnectTimeout, Error, Yield);
+        Server, BootClock::now() + this->Bounds.ConnectTimeout, Failure, Yield);
     if (!Peer) {
       return;
     }
--- a/net/HttpClient.h
+++ b/net/HttpClient.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "net/Address.h"
 #include "net/Http.h"
+#include "net/Silence.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -42,6 +43,10 @@
 
   /// When given and its caller goes, the exchange is cancelled.
   CallerWatch *Watch = nullptr;
+
+  /// When given, tells whether an answer is the one to this request; others,
+  /// left over from earlier requests, are dropped.
+  std::function<bool(const HttpResponse &)> Belongs = {};
 };
 
 struct ExchangeResult {
@@ -52,6 +57,9 @@
 
   /// Set otherwise.
   std::string Error;
+
+  /// With NotSent: no process listens at the address.
+  bool Refused = false;
 };
 
 /// Sends requests over pooled connections. A connection carries one exchange
@@ -66,6 +74,13 @@
 
     /// Connections leave from this IP address; empty for any.
     std::string LocalHost;
+
+    /// A connection is not used again after this long without a request; an
+    /// answer may state less.
+    std::chrono::milliseconds MaxIdle{3600000};
+
+    /// How connections that have gone silent are noticed.
+    SilenceChecks Silence;
   };
 
   HttpClient(boost::asio::io_context &Io, Limits Bounds);
@@ -94,17 +109,24 @@
 
     boost::beast::tcp_stream Peer;
     boost::beast::flat_buffer Buffer;
+
+    /// Not to be used again from then on.
+    TimePoint UsableUntil;
   };
   using ConnectionPtr = std::unique_ptr<Connection>;
 
   ConnectionPtr takeIdle(const Address &Server);
   ConnectionPtr connect(const Address &Server, TimePoint Deadline,
-                        std::string &Error,
+                        boost::system::error_code &Failure,
                         const boost::asio::yield_context &Yield);
   void giveBack(const Address &Server, ConnectionPtr Peer);
+  TimePoint usableUntil(const HttpResponse &Last) const;
   ExchangeResult run(Connection &Peer, HttpRequest &Request,
                      const ExchangeTerms &Terms,
                      const boost::asio::yield_context &Yield);
+  ExchangeResult readAnswer(Connection &Peer, const HttpRequest &Request,
+                            const ExchangeTerms &Terms,
+                            const boost::asio::yield_context &Yield);
 
   boost::asio::io_context &Io;
   Limits Bounds;
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -110,6 +110,7 @@
 
   HttpRequest Request = Parser.release();
   bool KeepAlive = Request.keep_alive();
+  ++this->Busy;
   HttpResponse Response = this->handle(Peer, Request, Yield);
 
   Response.version(Request.version());
@@ -119,6 +120,7 @@
   }
 
   bool Sent = this->send(Peer, Response, Yield);
+  --this->Busy;
   Peer.Busy = false;
   return Sent && Response.keep_alive();
 }
--- a/net/HttpServer.h
+++ b/net/HttpServer.h
@@ -31,6 +31,12 @@
   /// Where it listens, with the port that was chosen for port 0.
   Address localAddress() const { return this->Incoming.localAddress(); }
 
+  /// Bounds of what is read from now on; the number of connections stays.
+  void setLimits(const HttpLimits &Fresh) { this->Limits = Fresh; }
+
+  /// Requests that are being answered.
+  std::size_t busyCount() const { return this->Busy; }
+
   /// From now on each answer asks its peer to open a new connection.
   void refuseKeepAlive() { this->KeepAlive = false; }
 
@@ -57,6 +63,7 @@
   Handler OnRequest;
   Acceptor Incoming;
   bool KeepAlive = true;
+  std::size_t Busy = 0;
   std::set<Connection *> Streams;
 };
 
