mesh: ready once the mesh's table was read, even when it was empty

Cause: the store's version is 0 before anything is written, and 0 stood for "not read": 12 of 18 daemons, which never read again, were never ready. Ruled out: late configuration (in force 0.5 s after start).

--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -232,7 +232,7 @@
 }
 
 bool MeshDaemon::isReady() const {
-  return this->View.configuration() && this->View.completeAt() > 0 &&
+  return this->View.configuration() && this->View.wasRead() &&
          !this->StoppingSince;
 }
 
--- a/mesh/MeshView.cpp
+++ b/mesh/MeshView.cpp
@@ -57,7 +57,7 @@
     this->applyRow(Row);
   }
 
-  if (Rows.Complete && Rows.Version >= this->CompleteAt) {
+  if (Rows.Complete && Rows.Version >= this->completeAt()) {
     this->removeUnlisted(Rows);
     this->CompleteAt = Rows.Version;
   }
--- a/mesh/MeshView.h
+++ b/mesh/MeshView.h
@@ -48,7 +48,10 @@
   const VersionedKeyMap *findKeyMap(const std::string &Service) const;
 
   /// The version of the newest reading of the whole table; 0 before it.
-  RowVersion completeAt() const { return this->CompleteAt; }
+  RowVersion completeAt() const { return this->CompleteAt.value_or(0); }
+
+  /// Whether the whole table has been read; it may have been empty.
+  bool wasRead() const { return this->CompleteAt.has_value(); }
 
   /// \p OnChange is called after each change.
   void listen(std::function<void()> OnChange);
@@ -64,7 +67,7 @@
 
   /// Versions of all rows seen, deleted ones too.
   std::map<std::string, RowVersion> Versions;
-  RowVersion CompleteAt = 0;
+  std::optional<RowVersion> CompleteAt;
   std::vector<std::function<void()>> Listeners;
 };
 
