mesh: waits for changes that an outage made deaf are given up

Waits are given up when the store is lost or regained; the operator's are 3.5 s long, since a daemon with no other calls notices no outage. Wrong owners bring a reading. Ruled out: relaying (no instance reached the store).

--- a/mesh/Ingress.cpp
+++ b/mesh/Ingress.cpp
@@ -95,9 +95,11 @@
 Ingress::Ingress(asio::io_context &Io, const MeshSettings &Config,
                  const MeshView &View, const LocalServer &Server, Gate &Local,
                  const RequestDialect &Dialect,
-                 std::function<void()> OnOwnerUnreachable)
+                 std::function<void()> OnOwnerUnreachable,
+                 std::function<void()> OnWrongOwner)
     : Io(Io), Config(Config), View(View), Server(Server), Local(Local),
       Dialect(Dialect), OnOwnerUnreachable(std::move(OnOwnerUnreachable)),
+      OnWrongOwner(std::move(OnWrongOwner)),
       Peers(Io, peerLimits(Config)),
       Picker(Config.Region, Config.DataCenter, seedOf(Config.Instance)),
       Budget(budgetOf(Config)), Random(seedOf(Config.Instance + "/targets")) {}
@@ -274,6 +276,9 @@
   } else {
     this->Picker.onReached(Instance);
   }
+  if (Way.Keyed && Result.Reason == TryReason::NotOwner) {
+    this->OnWrongOwner();
+  }
   bool Unavailable = Result.Reason == TryReason::ServerUnavailable ||
                      Result.Reason == TryReason::Leaving;
   if (Unavailable && !Way.Keyed) {
--- a/mesh/Ingress.h
+++ b/mesh/Ingress.h
@@ -15,7 +15,8 @@
   Ingress(boost::asio::io_context &Io, const MeshSettings &Config,
           const MeshView &View, const LocalServer &Server, Gate &Local,
           const RequestDialect &Dialect,
-          std::function<void()> OnOwnerUnreachable);
+          std::function<void()> OnOwnerUnreachable,
+          std::function<void()> OnWrongOwner);
 
   /// Answers a request of a caller on this machine.
   HttpResponse serveCaller(HttpRequest &Request, CallerWatch &Watch,
@@ -63,6 +64,7 @@
   Gate &Local;
   const RequestDialect &Dialect;
   std::function<void()> OnOwnerUnreachable;
+  std::function<void()> OnWrongOwner;
   HttpClient Peers;
   InstancePicker Picker;
   RetryBudget Budget;
--- a/mesh/InstancePicker.cpp
+++ b/mesh/InstancePicker.cpp
@@ -25,7 +25,8 @@
 /// do not all choose the same one.
 constexpr double Spread = 0.1;
 
-/// Assumed until a first load was told.
+/// Assumed of an instance in another region until a first load was told. One
+/// in the same region is tried at once instead, so that it gets its part.
 constexpr double UnknownMean = 0.2;
 
 /// An instance that could not be reached is left alone this long at first, and
@@ -81,7 +82,8 @@
 double InstancePicker::cost(const InstanceRow &Row, TimePoint Now) {
   Known &Seen = this->Instances[Row.Instance];
   bool Told = Seen.Load.Mean > Duration::zero();
-  double Mean = Told ? seconds(Seen.Load.Mean) : UnknownMean;
+  bool Near = Row.Region == this->Region;
+  double Mean = Told ? seconds(Seen.Load.Mean) : Near ? 0 : UnknownMean;
   double Slots = std::max<double>(Row.Slots, 1);
 
   double Fade = std::exp(-std::max(seconds(Now - Seen.LoadAt), 0.0) / LoadFade);
@@ -93,9 +95,7 @@
   double Crowding = 0.2 * Mean * std::min(Ahead / Slots, 1.0);
 
   double Travel = Row.DataCenter == this->DataCenter ? SameDataCenter
-                  : Row.Region == this->Region
-                      ? SameRegion
-                      : OtherRegion + OtherRegionSurcharge;
+                  : Near ? SameRegion : OtherRegion + OtherRegionSurcharge;
   std::uniform_real_distribution<double> Vary(1.0, 1.0 + Spread);
   return (Travel + Wait + Mean + Crowding) * Vary(this->Random);
 }
--- a/mesh/StorePath.cpp
+++ b/mesh/StorePath.cpp
@@ -73,13 +73,36 @@
     LogLine(Serves ? LogLevel::Info : LogLevel::Warning, "store",
             Serves ? "store_regained" : "store_lost")
         .with("reason", Why);
+    this->abandonCalls();
+  }
+}
+
+void StorePath::abandonCalls() {
+  // A wait for changes that was under way in an outage may hear of none until
+  // its end; whoever made it asks again.
+  std::set<CallerWatch *> Abandoned;
+  Abandoned.swap(this->Reading);
+  for (CallerWatch *Watch : Abandoned) {
+    if (Watch->OnGone) {
+      Watch->OnGone();
+    }
   }
 }
 
 ExchangeResult StorePath::direct(HttpRequest &Request, Duration Timeout,
                                  const asio::yield_context &Yield) {
+  CallerWatch Watch;
+  if (changesNothing(Request)) {
+    this->Reading.insert(&Watch);
+  }
   ExchangeResult Result = this->StoreClient.exchange(
-      this->Store, Request, {.Deadline = BootClock::now() + Timeout}, Yield);
+      this->Store, Request,
+      {.Deadline = BootClock::now() + Timeout, .Watch = &Watch}, Yield);
+  bool Abandoned =
+      changesNothing(Request) && this->Reading.erase(&Watch) == 0;
+  if (Abandoned && !isServed(Result)) {
+    return Result;
+  }
 
   bool Serves = isServed(Result);
   std::string Why = Result.Outcome == ExchangeOutcome::Answered
--- a/mesh/StorePath.h
+++ b/mesh/StorePath.h
@@ -35,11 +35,15 @@
   ExchangeResult throughPeers(HttpRequest &Request, Duration Timeout,
                               const boost::asio::yield_context &Yield);
   void noteDirect(bool Works, const std::string &Why);
+  void abandonCalls();
 
   Address Store;
   std::function<std::vector<Address>()> Peers;
   HttpClient StoreClient;
   HttpClient PeerClient;
+
+  /// Calls to the store that change nothing and are under way.
+  std::set<CallerWatch *> Reading;
   bool Works = true;
   TimePoint RetryAt;
   std::size_t NextPeer = 0;
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -8,9 +8,16 @@
 
 namespace {
 
-/// The store holds an answer this long when nothing changes. Each answer is a
-/// priced call; silent connections are noticed by other means.
-constexpr auto LongestWait = std::chrono::seconds(20);
+/// A wait that an outage has made deaf ends within this time. Configurations
+/// are due 4 s after an outage, when a machine counts as in touch again.
+constexpr auto OperatorWait = std::chrono::milliseconds(3500);
+
+/// Owners that are not where the view has them say so, which brings a reading;
+/// each answer is a priced call.
+constexpr auto MeshWait = std::chrono::seconds(12);
+
+/// Between two readings of the mesh's table that were asked for.
+constexpr auto ReadPause = std::chrono::milliseconds(400);
 
 /// After a call that failed.
 constexpr auto RetryPause = std::chrono::milliseconds(300);
@@ -24,8 +31,8 @@
 StoreSync::StoreSync(asio::io_context &Io, Store &Rows, MeshView &View,
                      const ConfigurationCodec &Codec)
     : Rows(Rows), View(View), Codec(Codec),
-      Operator(Io, tables::Operator, Duration::zero()),
-      Mesh(Io, tables::Mesh, MeshPause), WriteTimer(Io) {}
+      Operator(Io, tables::Operator, OperatorWait, Duration::zero()),
+      Mesh(Io, tables::Mesh, MeshWait, MeshPause), WriteTimer(Io) {}
 
 void StoreSync::start() {
   this->advance(this->Operator);
@@ -34,7 +41,7 @@
 
 void StoreSync::advance(Feed &Followed) {
   if (Followed.Known) {
-    this->Rows.follow(Followed.Table, Followed.Version, LongestWait,
+    this->Rows.follow(Followed.Table, Followed.Version, Followed.Wait,
                       [this, &Followed](const FollowResult &Result) {
                         this->onFollowed(Followed, Result);
                       });
@@ -126,6 +133,14 @@
                        });
 }
 
+void StoreSync::refreshMesh() {
+  TimePoint Now = BootClock::now();
+  if (Now >= this->NextReadAt) {
+    this->NextReadAt = Now + ReadPause;
+    this->readMesh();
+  }
+}
+
 void StoreSync::setOwnRow(const InstanceRow &Row) {
   bool Same = this->Wanted && *this->Wanted == Row;
   this->Wanted = Row;
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -24,14 +24,22 @@
   /// Reads the whole table of the mesh into the view.
   void readMesh();
 
+  /// As readMesh, but no more often than every few hundred milliseconds: what
+  /// the view says of owners has turned out to be old.
+  void refreshMesh();
+
 private:
   /// One table that is followed.
   struct Feed {
-    Feed(boost::asio::io_context &Io, const char *Table, Duration Pause)
-        : Table(Table), Pause(Pause), Timer(Io) {}
+    Feed(boost::asio::io_context &Io, const char *Table, Duration Wait,
+         Duration Pause)
+        : Table(Table), Wait(Wait), Pause(Pause), Timer(Io) {}
 
     std::string Table;
 
+    /// How long the store holds an answer when nothing changes.
+    Duration Wait;
+
     /// After changes, so that a series of them comes in one answer.
     Duration Pause;
     boost::asio::steady_timer Timer;
@@ -56,6 +64,7 @@
   boost::asio::steady_timer WriteTimer;
   std::optional<InstanceRow> Wanted;
   bool Writing = false;
+  TimePoint NextReadAt;
 };
 
 } // namespace hemlockspar
