mesh: fewer store calls: word of newer configurations, longer waits and leases

Configuration versions travel with hops, so the operator's wait may be longer; leases of 8.5 s are renewed each 3.3 s and read each 3.5 s.

--- a/coordination/QueueDiscipline.h
+++ b/coordination/QueueDiscipline.h
@@ -23,11 +23,11 @@
   /// Requests of one class are expected to take about the same time.
   std::string Class;
   std::string Caller;
+  TimePoint ArrivedAt;
+  TimePoint Deadline = TimePoint::max();
 
   /// Lower ranks go first where the discipline goes by urgency.
   std::uint32_t Rank = 0;
-  TimePoint ArrivedAt;
-  TimePoint Deadline = TimePoint::max();
 };
 
 /// Which order operators declare for a service's queues.
--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr char Header[] = "Hs-Hop";
-constexpr std::size_t TermFields = 7;
-constexpr std::size_t ResultFields = 8;
+constexpr std::size_t TermFields = 8;
+constexpr std::size_t ResultFields = 9;
 constexpr char NoKey[] = "-";
 
 /// The fields of the header; empty when there is no such header.
@@ -40,7 +40,7 @@
                            Terms.Rank, " ",
                            toMilliseconds(Terms.GiveUpAt - Now), " ",
                            toMilliseconds(Terms.MaxWait), " ",
-                           Terms.CallerService));
+                           Terms.CallerService, " ", Terms.Configuration));
 }
 
 std::optional<TryTerms> takeTerms(HttpRequest &Request, TimePoint Now) {
@@ -60,6 +60,7 @@
   Terms.GiveUpAt = Now + spanOf(Fields[4]);
   Terms.MaxWait = spanOf(Fields[5]);
   Terms.CallerService = Fields[6];
+  Terms.Configuration = static_cast<std::uint64_t>(numberOf(Fields[7]));
   return Terms;
 }
 
@@ -75,7 +76,8 @@
                             " ", Result.Reached ? 1 : 0, " ",
                             toMilliseconds(Result.Wait), " ", Load.Running, " ",
                             Load.Waiting, " ", Load.Slots, " ",
-                            toMilliseconds(Load.Mean)));
+                            toMilliseconds(Load.Mean), " ",
+                            Result.Configuration));
   return Response;
 }
 
@@ -98,6 +100,7 @@
   Load.Waiting = static_cast<std::uint32_t>(numberOf(Fields[5]));
   Load.Slots = static_cast<std::uint32_t>(numberOf(Fields[6]));
   Load.Mean = spanOf(Fields[7]);
+  Result.Configuration = static_cast<std::uint64_t>(numberOf(Fields[8]));
   if (Load.Slots > 0) {
     Result.Load = Load;
   }
--- a/mesh/Ingress.cpp
+++ b/mesh/Ingress.cpp
@@ -94,12 +94,9 @@
 
 Ingress::Ingress(asio::io_context &Io, const MeshSettings &Config,
                  const MeshView &View, const LocalServer &Server, Gate &Local,
-                 const RequestDialect &Dialect,
-                 std::function<void()> OnOwnerUnreachable,
-                 std::function<void()> OnWrongOwner)
+                 const RequestDialect &Dialect, IngressEvents &Events)
     : Io(Io), Config(Config), View(View), Server(Server), Local(Local),
-      Dialect(Dialect), OnOwnerUnreachable(std::move(OnOwnerUnreachable)),
-      OnWrongOwner(std::move(OnWrongOwner)),
+      Dialect(Dialect), Events(Events),
       Peers(Io, peerLimits(Config)),
       Picker(Config.Region, Config.DataCenter, seedOf(Config.Instance)),
       Budget(budgetOf(Config)), Random(seedOf(Config.Instance + "/targets")) {}
@@ -168,6 +165,7 @@
   Way.Terms.Rank = Way.Chosen->Priority;
   Way.Terms.GiveUpAt = Now + Patience;
   Way.Terms.CallerService = this->Server.service();
+  Way.Terms.Configuration = Way.InForce->Version;
   this->Budget.setInstances(this->View.instances().size());
   this->Budget.onRequest(Way.Terms.Service, Now);
 
@@ -271,13 +269,13 @@
   if (Result.Reason == TryReason::Unreachable) {
     this->Picker.onUnreachable(Instance, Now);
     if (Way.Keyed) {
-      this->OnOwnerUnreachable();
+      this->Events.ownerUnreachable();
     }
   } else {
     this->Picker.onReached(Instance);
   }
   if (Way.Keyed && Result.Reason == TryReason::NotOwner) {
-    this->OnWrongOwner();
+    this->Events.ownerWrong();
   }
   bool Unavailable = Result.Reason == TryReason::ServerUnavailable ||
                      Result.Reason == TryReason::Leaving;
@@ -310,7 +308,9 @@
     break;
   }
   eraseHopHeaders(Exchange.Response);
-  return hop::takeResult(std::move(Exchange.Response));
+  TryResult Result = hop::takeResult(std::move(Exchange.Response));
+  this->Events.configurationSeen(Result.Configuration);
+  return Result;
 }
 
 Ingress::NextStep Ingress::judge(const TryResult &Result, Journey &Way,
@@ -418,6 +418,7 @@
     return hop::writeResult(tryNotRun(TryReason::NotOwner));
   }
 
+  this->Events.configurationSeen(Terms->Configuration);
   Terms->RequestId = this->Dialect.readDemand(Request).RequestId;
   bool Elsewhere = this->Refusing || (this->Stopping && !Terms->Key);
   TryResult Result = Elsewhere
@@ -431,7 +432,13 @@
       .with("reason", nameOf(Result.Reason))
       .with("status", Result.Response.result_int())
       .with("ms", toMilliseconds(BootClock::now() - Now));
+  Result.Configuration = this->versionInForce();
   return hop::writeResult(std::move(Result));
 }
 
+std::uint64_t Ingress::versionInForce() const {
+  const ConfigurationPtr &InForce = this->View.configuration();
+  return InForce ? InForce->Version : 0;
+}
+
 } // namespace hemlockspar
--- a/mesh/Ingress.h
+++ b/mesh/Ingress.h
@@ -6,6 +6,21 @@
 
 namespace hemlockspar {
 
+/// What the request path notices of others' state and its surroundings act on.
+class IngressEvents {
+public:
+  virtual ~IngressEvents() = default;
+
+  /// The instance that owns a key cannot be reached.
+  virtual void ownerUnreachable() = 0;
+
+  /// The view has a key at an instance that does not own it.
+  virtual void ownerWrong() = 0;
+
+  /// Another instance has configuration \p Version in force.
+  virtual void configurationSeen(std::uint64_t Version) = 0;
+};
+
 /// Takes a caller's request, finds the instance that is to serve it, and sees
 /// to it that the caller gets one whole answer within the route's timeout. A
 /// request is sent on again only while that cannot make it run twice where it
@@ -15,8 +30,7 @@
   Ingress(boost::asio::io_context &Io, const MeshSettings &Config,
           const MeshView &View, const LocalServer &Server, Gate &Local,
           const RequestDialect &Dialect,
-          std::function<void()> OnOwnerUnreachable,
-          std::function<void()> OnWrongOwner);
+          IngressEvents &Events);
 
   /// Answers a request of a caller on this machine.
   HttpResponse serveCaller(HttpRequest &Request, CallerWatch &Watch,
@@ -55,6 +69,7 @@
   HttpResponse refuse(http::status Status, const std::string &RequestId,
                       const char *Reason, std::optional<Duration> RetryAfter);
   std::string pickTarget(const Route &Chosen);
+  std::uint64_t versionInForce() const;
   void log(const TryResult &Result, const Journey &Way) const;
 
   boost::asio::io_context &Io;
@@ -63,8 +78,7 @@
   const LocalServer &Server;
   Gate &Local;
   const RequestDialect &Dialect;
-  std::function<void()> OnOwnerUnreachable;
-  std::function<void()> OnWrongOwner;
+  IngressEvents &Events;
   HttpClient Peers;
   InstancePicker Picker;
   RetryBudget Budget;
--- a/mesh/KeyKeeper.cpp
+++ b/mesh/KeyKeeper.cpp
@@ -40,6 +40,10 @@
 /// Between two readings of the leases: a reading is a priced call.
 constexpr auto LeaseReadPause = std::chrono::milliseconds(700);
 
+/// Without a reason the leases are read this often, for the owners' loads and
+/// for owners that are gone.
+constexpr auto LeaseReadInterval = std::chrono::milliseconds(3500);
+
 constexpr auto MeshReadPause = std::chrono::milliseconds(300);
 
 /// Between two gifts of one owner, so that the effect of one shows in the load
@@ -233,10 +237,6 @@
     this->Clock.observe(*Commit.StoreClock, SentAt, Now);
   }
   this->Lease.onCommit(Commit, this->Clock, Now);
-  if (Commit.Result.Outcome == CommitOutcome::Committed) {
-    // The others renew about as often, so their rows are news by now.
-    this->LeasesWanted = true;
-  }
   this->tick(Now);
 }
 
@@ -270,10 +270,12 @@
 }
 
 void KeyKeeper::tendLease(TimePoint Now) {
-  bool Wanted = this->LeasesWanted || this->Lease.needsRead();
+  bool Wanted = this->LeasesWanted || this->Lease.needsRead() ||
+                Now >= this->LeasesDueAt;
   if (Wanted && !this->LeasesAsked && Now >= this->NextLeasesAt) {
     this->LeasesAsked = true;
     this->NextLeasesAt = Now + LeaseReadPause;
+    this->LeasesDueAt = Now + LeaseReadInterval;
     this->Actions.readLeases();
   }
 
--- a/mesh/KeyKeeper.h
+++ b/mesh/KeyKeeper.h
@@ -206,6 +206,7 @@
   bool LeasesWanted = true;
   bool LeasesAsked = false;
   TimePoint NextLeasesAt;
+  TimePoint LeasesDueAt;
   TimePoint MeshAskedAt;
   std::size_t MembersSeen = 0;
   TimePoint MembersChangedAt;
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -43,7 +43,7 @@
 /// All of one daemon. Everything runs on one thread: at some tens of requests
 /// a second on a fifth of a core, handing requests between threads costs more
 /// wake-ups than it saves.
-class MeshDaemon : private KeyKeeperActions {
+class MeshDaemon : private KeyKeeperActions, private IngressEvents {
 public:
   MeshDaemon(const MeshSettings &Config, std::string SettingsPath,
              const MeshAdapters &Adapters);
@@ -74,6 +74,13 @@
   void grantsChanged() override;
   void decided(KeyEvent Event, const std::string &Detail) override;
 
+  // IngressEvents
+  void ownerUnreachable() override { this->Keeper.suspectOwners(); }
+  void ownerWrong() override { this->Sync.refreshMesh(); }
+  void configurationSeen(std::uint64_t Version) override {
+    this->Sync.onConfigurationSeen(Version);
+  }
+
   const MeshSettings &Config;
   std::string SettingsPath;
   const MeshAdapters &Adapters;
@@ -126,8 +133,7 @@
             this->onServerChanged();
           }),
       Requests(Io, Config, View, Server, Way, *Adapters.Requests,
-               [this] { this->Keeper.suspectOwners(); },
-               [this] { this->Sync.refreshMesh(); }),
+               *this),
       Desk(Io, View, Server, Keeper, *Adapters.Reports,
            [this] { this->onServerChanged(); }),
       Callers(Io, limitsOf(Config),
--- a/mesh/OwnLease.h
+++ b/mesh/OwnLease.h
@@ -38,12 +38,13 @@
 class OwnLease {
 public:
   struct Terms {
-    /// A store outage of 4.5 s is everyday; half of the lease has passed at
-    /// worst when it begins.
-    Duration Length = std::chrono::seconds(8);
+    /// An outage of the store of 4.5 s is everyday, and outlasted by what is
+    /// left when it begins. Longer would keep the keys of a lost machine
+    /// without an owner for longer.
+    Duration Length = std::chrono::milliseconds(8500);
 
-    /// It is renewed when less than this is left.
-    Duration RenewBelow = std::chrono::milliseconds(5700);
+    /// It is renewed when less than this is left; each write is a priced call.
+    Duration RenewBelow = std::chrono::milliseconds(5200);
 
     /// Pause after a call that the store did not serve.
     Duration RetryPause = std::chrono::milliseconds(250);
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -8,9 +8,13 @@
 
 namespace {
 
-/// A wait that an outage has made deaf ends within this time. Configurations
-/// are due 4 s after an outage, when a machine counts as in touch again.
-constexpr auto OperatorWait = std::chrono::milliseconds(3500);
+/// A wait that an outage has made deaf ends within this time. Most often other
+/// instances' word of a newer configuration shows it much sooner.
+constexpr auto OperatorWait = std::chrono::seconds(9);
+
+/// A configuration that others have in force comes within this time, or the
+/// table is read.
+constexpr auto CatchUpPause = std::chrono::milliseconds(150);
 
 /// Owners that are not where the view has them say so, which brings a reading;
 /// each answer is a priced call.
@@ -24,15 +28,19 @@
 
 /// At a start all instances write their rows within a moment; each answer in
 /// between would be a call of its own.
-constexpr auto MeshPause = std::chrono::milliseconds(120);
+constexpr auto ShortestMeshPause = std::chrono::milliseconds(120);
+
+/// Added for each instance: the more there are, the more rows change.
+constexpr auto MeshPauseStep = std::chrono::milliseconds(6);
+constexpr auto LongestMeshPause = std::chrono::milliseconds(600);
 
 } // namespace
 
 StoreSync::StoreSync(asio::io_context &Io, Store &Rows, MeshView &View,
                      const ConfigurationCodec &Codec)
     : Rows(Rows), View(View), Codec(Codec),
-      Operator(Io, tables::Operator, OperatorWait, Duration::zero()),
-      Mesh(Io, tables::Mesh, MeshWait, MeshPause), WriteTimer(Io) {}
+      Operator(Io, tables::Operator, OperatorWait),
+      Mesh(Io, tables::Mesh, MeshWait), WriteTimer(Io), CatchUpTimer(Io) {}
 
 void StoreSync::start() {
   this->advance(this->Operator);
@@ -89,15 +97,19 @@
 
   this->take(Followed, Result.Rows);
   Followed.Version = std::max(Followed.Version, Result.Rows.Version);
-  bool Pause =
-      !Result.Rows.Rows.empty() && Followed.Pause > Duration::zero();
+  bool Pause = !Result.Rows.Rows.empty() && &Followed == &this->Mesh;
   if (Pause) {
-    this->advanceAfter(Followed, Followed.Pause);
+    this->advanceAfter(Followed, this->meshPause());
   } else {
     this->advance(Followed);
   }
 }
 
+Duration StoreSync::meshPause() const {
+  auto Step = MeshPauseStep * static_cast<int>(this->View.instances().size());
+  return std::clamp<Duration>(Step, ShortestMeshPause, LongestMeshPause);
+}
+
 void StoreSync::take(Feed &Followed, const StoreRows &Rows) {
   if (&Followed == &this->Mesh) {
     this->View.apply(Rows);
@@ -124,6 +136,40 @@
   this->View.adopt(std::make_shared<const Configuration>(std::move(*Read)));
 }
 
+bool StoreSync::isBehind() const {
+  const ConfigurationPtr &InForce = this->View.configuration();
+  return !InForce || InForce->Version < this->SeenVersion;
+}
+
+void StoreSync::onConfigurationSeen(std::uint64_t Version) {
+  this->SeenVersion = std::max(this->SeenVersion, Version);
+  if (this->CatchingUp || !this->isBehind()) {
+    return;
+  }
+
+  this->CatchingUp = true;
+  this->CatchUpTimer.expires_after(CatchUpPause);
+  this->CatchUpTimer.async_wait([this](const boost::system::error_code &Error) {
+    this->CatchingUp = false;
+    if (!Error && this->isBehind()) {
+      this->readOperator();
+    }
+  });
+}
+
+void StoreSync::readOperator() {
+  LogLine(LogLevel::Info, "store", "configuration_missed")
+      .with("seen", static_cast<long long>(this->SeenVersion));
+  this->CatchingUp = true;
+  this->Rows.readTable(tables::Operator,
+                       [this](const std::optional<StoreRows> &Read) {
+                         this->CatchingUp = false;
+                         if (Read) {
+                           this->take(this->Operator, *Read);
+                         }
+                       });
+}
+
 void StoreSync::readMesh() {
   this->Rows.readTable(tables::Mesh,
                        [this](const std::optional<StoreRows> &Read) {
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -28,20 +28,21 @@
   /// the view says of owners has turned out to be old.
   void refreshMesh();
 
+  /// Another instance has configuration \p Version in force: unless it comes
+  /// at once, the wait for it has become deaf and the table is read.
+  void onConfigurationSeen(std::uint64_t Version);
+
 private:
   /// One table that is followed.
   struct Feed {
-    Feed(boost::asio::io_context &Io, const char *Table, Duration Wait,
-         Duration Pause)
-        : Table(Table), Wait(Wait), Pause(Pause), Timer(Io) {}
+    Feed(boost::asio::io_context &Io, const char *Table, Duration Wait)
+        : Table(Table), Wait(Wait), Timer(Io) {}
 
     std::string Table;
 
     /// How long the store holds an answer when nothing changes.
     Duration Wait;
 
-    /// After changes, so that a series of them comes in one answer.
-    Duration Pause;
     boost::asio::steady_timer Timer;
     RowVersion Version = 0;
     bool Known = false;
@@ -51,6 +52,9 @@
   void advanceAfter(Feed &Followed, Duration Pause);
   void onFollowed(Feed &Followed, const FollowResult &Result);
   void take(Feed &Followed, const StoreRows &Rows);
+  Duration meshPause() const;
+  bool isBehind() const;
+  void readOperator();
   void takeConfiguration(const TableRow &Row);
   void writeOwnRow();
   void onOwnRowWritten(const InstanceRow &Written, const StoreCommit &Commit);
@@ -65,6 +69,11 @@
   std::optional<InstanceRow> Wanted;
   bool Writing = false;
   TimePoint NextReadAt;
+
+  /// The newest configuration that any instance is known to have in force.
+  std::uint64_t SeenVersion = 0;
+  boost::asio::steady_timer CatchUpTimer;
+  bool CatchingUp = false;
 };
 
 } // namespace hemlockspar
--- a/mesh/Try.h
+++ b/mesh/Try.h
@@ -58,6 +58,9 @@
 
   /// The service of the machine where the request began.
   std::string CallerService;
+
+  /// Version of the configuration in force at the sender.
+  std::uint64_t Configuration = 0;
 };
 
 /// What a try at a request came to.
@@ -74,6 +77,9 @@
   /// How busy the backend server is; nothing when that is not known.
   std::optional<ServerLoad> Load;
 
+  /// Version of the configuration in force at the instance that was asked.
+  std::uint64_t Configuration = 0;
+
   /// Set when the outcome is Answered.
   HttpResponse Response;
 };
