--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -10,8 +10,10 @@
 
 constexpr char Header[] = "Hs-Hop";
 constexpr std::size_t TermFields = 8;
-constexpr std::size_t ResultFields = 9;
-constexpr char NoKey[] = "-";
+constexpr std::size_t ResultFields = 10;
+
+/// Stands for a field without a value.
+constexpr char NoValue[] = "-";
 
 /// The fields of the header; empty when there is no such header.
 std::vector<std::string> fieldsOf(const http::fields &Fields) {
@@ -34,7 +36,7 @@
 } // namespace
 
 void writeTerms(HttpRequest &Request, const TryTerms &Terms, TimePoint Now) {
-  std::string Key = Terms.Key ? std::to_string(*Terms.Key) : NoKey;
+  std::string Key = Terms.Key ? std::to_string(*Terms.Key) : NoValue;
   Request.set(Header,
               absl::StrCat(Terms.Service, " ", Key, " ", Terms.RouteName, " ",
                            Terms.Rank, " ",
@@ -52,7 +54,7 @@
 
   TryTerms Terms;
   Terms.Service = Fields[0];
-  if (Fields[1] != NoKey) {
+  if (Fields[1] != NoValue) {
     Terms.Key = static_cast<KeyNumber>(numberOf(Fields[1]));
   }
   Terms.RouteName = Fields[2];
@@ -77,7 +79,8 @@
                             toMilliseconds(Result.Wait), " ", Load.Running, " ",
                             Load.Waiting, " ", Load.Slots, " ",
                             toMilliseconds(Load.Mean), " ",
-                            Result.Configuration));
+                            Result.Configuration, " ",
+                            Result.Owner.empty() ? NoValue : Result.Owner));
   return Response;
 }
 
@@ -101,6 +104,9 @@
   Load.Slots = static_cast<std::uint32_t>(numberOf(Fields[6]));
   Load.Mean = spanOf(Fields[7]);
   Result.Configuration = static_cast<std::uint64_t>(numberOf(Fields[8]));
+  if (Fields[9] != NoValue) {
+    Result.Owner = Fields[9];
+  }
   if (Load.Slots > 0) {
     Result.Load = Load;
   }
--- a/mesh/Ingress.cpp
+++ b/mesh/Ingress.cpp
@@ -88,6 +88,9 @@
   bool MayHaveRun = false;
   InstanceId Last;
 
+  /// The owner that another instance named.
+  InstanceId NamedOwner;
+
   /// The shortest wait that any instance told.
   std::optional<Duration> BestWait;
 };
@@ -226,18 +229,22 @@
     return this->Picker.pick(this->View, Way.Terms.Service, Way.Tried, Now);
   }
 
-  const MeshView::VersionedKeyMap *Owners =
-      this->View.findKeyMap(Way.Terms.Service);
-  if (!Owners) {
-    return std::nullopt;
+  // Whoever owned the key before may know better than the view.
+  InstanceId Owner = std::move(Way.NamedOwner);
+  Way.NamedOwner.clear();
+  if (Owner.empty()) {
+    Owner = this->ownerOf(Way.Terms.Service, *Way.Terms.Key);
   }
-  const InstanceId &Owner =
-      Owners->Map.find(*Way.Terms.Key).Holder.Instance;
   bool Usable = this->View.findInstance(Owner) &&
                 !this->Picker.isSuspect(Owner, Now);
   return Usable ? std::optional(Owner) : std::nullopt;
 }
 
+InstanceId Ingress::ownerOf(const std::string &Service, KeyNumber Key) const {
+  const MeshView::VersionedKeyMap *Owners = this->View.findKeyMap(Service);
+  return Owners ? Owners->Map.find(Key).Holder.Instance : InstanceId();
+}
+
 Duration Ingress::allowedWait(const Journey &Way, TimePoint Now) const {
   Duration Left = Way.Terms.GiveUpAt - Now;
   Duration Aim = Way.ArrivedAt + Way.Chosen->Objective - Now;
@@ -275,7 +282,10 @@
     this->Picker.onReached(Instance);
   }
   if (Way.Keyed && Result.Reason == TryReason::NotOwner) {
-    this->Events.ownerWrong();
+    Way.NamedOwner = Result.Owner;
+    if (Result.Owner.empty()) {
+      this->Events.ownerWrong();
+    }
   }
   bool Unavailable = Result.Reason == TryReason::ServerUnavailable ||
                      Result.Reason == TryReason::Leaving;
@@ -370,7 +380,11 @@
     return Way.Refusals >= 2 * MostRefusals ? NextStep::Finish
                                             : NextStep::TryNow;
   }
-  return MayLook ? NextStep::TryAfterPause : NextStep::Finish;
+  if (!MayLook) {
+    return NextStep::Finish;
+  }
+  bool Named = !Way.NamedOwner.empty() && Way.NamedOwner != Way.Last;
+  return Named ? NextStep::TryNow : NextStep::TryAfterPause;
 }
 
 HttpResponse Ingress::finish(TryResult &&Result, const Journey &Way) {
@@ -433,6 +447,10 @@
       .with("status", Result.Response.result_int())
       .with("ms", toMilliseconds(BootClock::now() - Now));
   Result.Configuration = this->versionInForce();
+  if (Terms->Key && Result.Reason == TryReason::NotOwner) {
+    InstanceId Owner = this->ownerOf(Terms->Service, *Terms->Key);
+    Result.Owner = Owner == this->Config.Instance ? InstanceId() : Owner;
+  }
   return hop::writeResult(std::move(Result));
 }
 
--- a/mesh/Ingress.h
+++ b/mesh/Ingress.h
@@ -69,6 +69,7 @@
   HttpResponse refuse(http::status Status, const std::string &RequestId,
                       const char *Reason, std::optional<Duration> RetryAfter);
   std::string pickTarget(const Route &Chosen);
+  InstanceId ownerOf(const std::string &Service, KeyNumber Key) const;
   std::uint64_t versionInForce() const;
   void log(const TryResult &Result, const Journey &Way) const;
 
--- a/mesh/KeyKeeper.cpp
+++ b/mesh/KeyKeeper.cpp
@@ -46,9 +46,22 @@
 
 constexpr auto MeshReadPause = std::chrono::milliseconds(300);
 
+/// Between two offers of one owner when the first was turned down.
+constexpr auto OfferPause = std::chrono::milliseconds(300);
+
+/// An instance that turned an offer down is left alone this long.
+constexpr auto DeclinePause = std::chrono::milliseconds(1500);
+
+/// Load that was promised counts this long; by then it shows in the measured
+/// load.
+constexpr auto PromiseTime = std::chrono::milliseconds(3000);
+
+/// The least difference in load for which keys are taken.
+constexpr double LeastGap = 0.25;
+
 /// Between two gifts of one owner, so that the effect of one shows in the load
 /// before the next is weighed.
-constexpr auto GiftPause = std::chrono::milliseconds(2500);
+constexpr auto GiftPause = std::chrono::milliseconds(1500);
 
 /// Requests that still run keep a handover waiting; after this long the keys
 /// stay where they are.
@@ -502,16 +515,71 @@
     this->planLeaving(Now);
     return;
   }
-  if (!this->Gifts.empty() || Now < this->NextGiftAt || !this->LeasesAt) {
+  bool Free = this->Gifts.empty() && this->OfferedTo.empty() &&
+              Now >= this->NextGiftAt && this->LeasesAt;
+  if (!Free) {
     return;
   }
 
-  auto Planned = planGift(this->map()->Map, this->self(),
-                          this->members(true, Now), this->Loads, Now);
-  if (Planned) {
-    this->begin(*Planned, Now);
-    this->Loads.prune(Now);
+  std::erase_if(this->Declined,
+                [&](const auto &Entry) { return Now >= Entry.second; });
+  std::set<InstanceId> LeftAlone;
+  for (const auto &[Name, Until] : this->Declined) {
+    LeftAlone.insert(Name);
+  }
+  auto Receiver = chooseReceiver(this->map()->Map, this->self(),
+                                 this->members(true, Now), LeftAlone);
+  if (Receiver) {
+    this->OfferedTo = Receiver->Instance;
+    this->NextGiftAt = Now + OfferPause;
+    this->Actions.offer(Receiver->Instance, this->OwnLoad);
+  }
+}
+
+double KeyKeeper::expectedLoad(TimePoint Now) const {
+  return this->OwnLoad + (Now < this->PromisedUntil ? this->Promised : 0);
+}
+
+OfferAnswer KeyKeeper::onOffer(double GiverLoad, TimePoint Now) {
+  double Load = this->expectedLoad(Now);
+  const MeshView::VersionedKeyMap *Known = this->map();
+  bool Empty = Known && Known->Map.countOf(this->Instance) == 0 &&
+               Now >= this->PromisedUntil;
+  bool Able = this->Reported && !this->Leaving && !this->Refused &&
+              this->mayAct(Now) && this->Gifts.empty();
+  bool Wanted = Empty || GiverLoad - Load >= LeastGap;
+  if (!Able || !Wanted) {
+    return {false, Load};
+  }
+
+  bool Fresh = Now >= this->PromisedUntil;
+  this->Promised = (Fresh ? 0 : this->Promised) +
+                   std::max(GiverLoad - Load, LeastGap) / 2;
+  this->PromisedUntil = Now + PromiseTime;
+  return {true, Load};
+}
+
+void KeyKeeper::onOfferAnswer(const InstanceId &Receiver,
+                              const std::optional<OfferAnswer> &Answer,
+                              TimePoint Now) {
+  this->OfferedTo.clear();
+  const InstanceRow *Row = this->View.findInstance(Receiver);
+  bool Taken = Answer && Answer->Taken && Row && this->map() &&
+               this->Gifts.empty() && !this->Leaving;
+  if (!Taken) {
+    this->Declined[Receiver] = Now + DeclinePause;
+    return;
+  }
+
+  bool Empty = this->map()->Map.countOf(Receiver) == 0;
+  auto Part = choosePart(this->map()->Map, this->self(), this->OwnLoad,
+                         Answer->Load, Empty, this->Loads, Now);
+  if (!Part) {
+    this->Declined[Receiver] = Now + DeclinePause;
+    return;
   }
+  this->begin({*Part, {Receiver, Row->Run}}, Now);
+  this->Loads.prune(Now);
 }
 
 void KeyKeeper::planLeaving(TimePoint Now) {
@@ -540,7 +608,6 @@
             });
   this->Actions.decided(KeyEvent::HandoverBegun,
                         spanText(Planned.Keys) + " to " + Planned.To.Instance);
-  this->Actions.grantsChanged();
 }
 
 void KeyKeeper::dropStaleGifts(TimePoint Now) {
@@ -642,7 +709,6 @@
   case MapWrite::None:
     break;
   }
-  this->Actions.grantsChanged();
   this->tick(Now);
 }
 
--- a/mesh/KeyKeeper.h
+++ b/mesh/KeyKeeper.h
@@ -26,6 +26,14 @@
 /// Name of \p Event for logs.
 const char *nameOf(KeyEvent Event);
 
+/// What an instance says to an offer of keys.
+struct OfferAnswer {
+  bool Taken = false;
+
+  /// Its load, with what it has been promised.
+  double Load = 0;
+};
+
 /// What the keeper asks its surroundings to do. Nothing of it may call back
 /// into the keeper before it returns.
 class KeyKeeperActions {
@@ -44,8 +52,9 @@
   /// Reads the table of the mesh as a whole into the view.
   virtual void readMesh() = 0;
 
-  /// What the backend server may hold has changed.
-  virtual void grantsChanged() = 0;
+  /// Asks \p Receiver whether it takes keys from an owner whose load is
+  /// \p Load; its word goes to onOfferAnswer.
+  virtual void offer(const InstanceId &Receiver, double Load) = 0;
 
   virtual void decided(KeyEvent Event, const std::string &Detail) = 0;
 };
@@ -90,6 +99,15 @@
   void onLeases(const std::optional<StoreRows> &Rows, TimePoint SentAt,
                 TimePoint Now);
 
+  /// Another owner, whose load is \p GiverLoad, offers keys. An offer that is
+  /// taken counts as load here for a while, so that several owners do not give
+  /// to the same instance at once.
+  OfferAnswer onOffer(double GiverLoad, TimePoint Now);
+
+  /// What \p Receiver said to the offer; nothing when it did not answer.
+  void onOfferAnswer(const InstanceId &Receiver,
+                     const std::optional<OfferAnswer> &Answer, TimePoint Now);
+
   /// A request could not reach the instance that owns its key.
   void suspectOwners() { this->LeasesWanted = true; }
 
@@ -162,6 +180,7 @@
   void noteReleases(const ServerReport &Report);
   void dropStaleGifts(TimePoint Now);
 
+  double expectedLoad(TimePoint Now) const;
   std::vector<KeyMember> members(bool WithSelf, TimePoint Now) const;
   std::vector<KeySpan> lostKeys(const KeyMap &Map,
                                 TableTransaction &Write) const;
@@ -213,6 +232,16 @@
 
   KeyLoads Loads;
   double OwnLoad = 0;
+
+  /// The instance to which keys are offered; empty when none are.
+  InstanceId OfferedTo;
+
+  /// Who turned an offer down, and until when it is left alone.
+  std::map<InstanceId, TimePoint> Declined;
+
+  /// Load that others have promised, and until when it counts.
+  double Promised = 0;
+  TimePoint PromisedUntil;
 };
 
 } // namespace hemlockspar
--- a/mesh/KeyPlanner.cpp
+++ b/mesh/KeyPlanner.cpp
@@ -13,39 +13,20 @@
 
 /// An owner gives keys away for load only when it is at least this busy: below
 /// it requests hardly wait, and moved keys arrive cold.
-constexpr double BusyEnough = 0.7;
+constexpr double BusyEnough = 0.5;
 
 /// The least gap in load between giver and receiver: half of it moves, and a
 /// smaller gain does not pay for the pause and the cold start.
-constexpr double WorthwhileGap = 0.3;
+constexpr double WorthwhileGap = 0.25;
+
+/// The largest part of an owner's load that moves at once.
+constexpr double LargestShare = 0.5;
 
 /// Entries that one owner may have; its answer to a report has to stay small.
 constexpr std::size_t MostEntries = 24;
 
-std::vector<KeyMember> byLoad(std::vector<KeyMember> Members) {
-  std::sort(Members.begin(), Members.end(),
-            [](const KeyMember &First, const KeyMember &Second) {
-              return First.Load != Second.Load
-                         ? First.Load > Second.Load
-                         : First.Holder < Second.Holder;
-            });
-  return Members;
-}
-
-/// Index of \p Self among those that own keys, the most loaded first; the
-/// count of members when it owns none.
-std::size_t rankAmongOwners(const KeyMap &Map,
-                            const std::vector<KeyMember> &Sorted,
-                            const KeyHolder &Self) {
-  std::size_t Rank = 0;
-  for (const KeyMember &Member : Sorted) {
-    if (Member.Holder.Instance == Self.Instance) {
-      return Rank;
-    }
-    Rank += Map.countOf(Member.Holder.Instance) > 0 ? 1 : 0;
-  }
-  return Sorted.size();
-}
+/// Owners that offer keys to a backend server that has joined.
+constexpr std::size_t GiversPerJoiner = 2;
 
 const OwnedKeys *busiest(const std::vector<OwnedKeys> &Owned,
                          const KeyLoads &Loads, TimePoint Now) {
@@ -80,55 +61,6 @@
   return Usable ? *Part : KeySpan{Middle, Entry->Keys.To};
 }
 
-std::optional<PlannedGift> giftForJoiner(const KeyMap &Map,
-                                         const KeyHolder &Self,
-                                         const std::vector<KeyMember> &Sorted,
-                                         const KeyLoads &Own, TimePoint Now) {
-  std::vector<KeyHolder> Empty;
-  for (const KeyMember &Member : Sorted) {
-    if (Map.countOf(Member.Holder.Instance) == 0) {
-      Empty.push_back(Member.Holder);
-    }
-  }
-  std::sort(Empty.begin(), Empty.end());
-
-  std::size_t Rank = rankAmongOwners(Map, Sorted, Self);
-  if (Rank >= Empty.size()) {
-    return std::nullopt;
-  }
-  auto Part = halfOf(Map.ownedBy(Self.Instance), Own, Now);
-  return Part ? std::optional(PlannedGift{*Part, Empty[Rank]}) : std::nullopt;
-}
-
-std::optional<PlannedGift> giftForLoad(const KeyMap &Map, const KeyHolder &Self,
-                                       const std::vector<KeyMember> &Sorted,
-                                       const KeyLoads &Own, TimePoint Now) {
-  const KeyMember &Giver = Sorted.front();
-  const KeyMember &Receiver = Sorted.back();
-  double Gap = Giver.Load - Receiver.Load;
-  std::vector<OwnedKeys> Owned = Map.ownedBy(Self.Instance);
-  bool Wanted = Giver.Holder.Instance == Self.Instance &&
-                Giver.Load >= BusyEnough && Gap >= WorthwhileGap &&
-                Owned.size() < MostEntries;
-  if (!Wanted) {
-    return std::nullopt;
-  }
-
-  const OwnedKeys *Entry = busiest(Owned, Own, Now);
-  double Total = Own.total(Now);
-  if (!Entry || Total <= 0) {
-    return std::nullopt;
-  }
-
-  double Share = Gap / 2 / Giver.Load;
-  auto Part = Own.cutOff(Entry->Keys, Total * Share, false, Now);
-  if (!Part || Part->size() < SmallestPart) {
-    Part = Own.cutOff(Entry->Keys, Total * Share, true, Now);
-  }
-  return Part ? std::optional(PlannedGift{*Part, Receiver.Holder})
-              : std::nullopt;
-}
-
 } // namespace
 
 KeyMap firstLayout(const std::vector<KeyMember> &Members) {
@@ -190,16 +122,73 @@
   return Gifts;
 }
 
-std::optional<PlannedGift> planGift(const KeyMap &Map, const KeyHolder &Self,
-                                    const std::vector<KeyMember> &Members,
-                                    const KeyLoads &Own, TimePoint Now) {
-  if (Members.size() < 2 || Map.countOf(Self.Instance) == 0) {
+std::optional<KeyHolder> chooseReceiver(const KeyMap &Map,
+                                        const KeyHolder &Self,
+                                        const std::vector<KeyMember> &Members,
+                                        const std::set<InstanceId> &Declined) {
+  std::uint32_t OwnKeys = Map.countOf(Self.Instance);
+  const KeyMember *Own = nullptr;
+  const KeyMember *Joiner = nullptr;
+  const KeyMember *Least = nullptr;
+
+  for (const KeyMember &Member : Members) {
+    if (Member.Holder.Instance == Self.Instance) {
+      Own = &Member;
+      continue;
+    }
+    if (Declined.contains(Member.Holder.Instance)) {
+      continue;
+    }
+    bool Empty = Map.countOf(Member.Holder.Instance) == 0;
+    Joiner = Empty && !Joiner ? &Member : Joiner;
+    Least = !Least || Member.Load < Least->Load ? &Member : Least;
+  }
+  if (!Own || OwnKeys == 0) {
+    return std::nullopt;
+  }
+
+  if (Joiner) {
+    std::size_t Ahead = 0;
+    for (const KeyMember &Member : Members) {
+      std::uint32_t Keys = Map.countOf(Member.Holder.Instance);
+      bool Busier = Member.Load > Own->Load ||
+                    (Member.Load == Own->Load && Keys > OwnKeys);
+      Ahead += Busier && Keys > 0 ? 1 : 0;
+    }
+    if (Ahead < GiversPerJoiner) {
+      return Joiner->Holder;
+    }
+  }
+
+  bool Gap = Least && Own->Load >= BusyEnough &&
+             Own->Load - Least->Load >= WorthwhileGap;
+  return Gap ? std::optional(Least->Holder) : std::nullopt;
+}
+
+std::optional<KeySpan> choosePart(const KeyMap &Map, const KeyHolder &Self,
+                                  double SelfLoad, double ReceiverLoad,
+                                  bool ReceiverEmpty, const KeyLoads &Own,
+                                  TimePoint Now) {
+  std::vector<OwnedKeys> Owned = Map.ownedBy(Self.Instance);
+  if (ReceiverEmpty) {
+    return halfOf(Owned, Own, Now);
+  }
+
+  double Gap = SelfLoad - ReceiverLoad;
+  double Total = Own.total(Now);
+  const OwnedKeys *Entry = busiest(Owned, Own, Now);
+  bool Worthwhile = SelfLoad >= BusyEnough && Gap >= WorthwhileGap &&
+                    Total > 0 && Entry && Owned.size() < MostEntries;
+  if (!Worthwhile) {
     return std::nullopt;
   }
 
-  std::vector<KeyMember> Sorted = byLoad(Members);
-  auto Joiner = giftForJoiner(Map, Self, Sorted, Own, Now);
-  return Joiner ? Joiner : giftForLoad(Map, Self, Sorted, Own, Now);
+  double Load = Total * std::min(Gap / 2 / SelfLoad, LargestShare);
+  auto Part = Own.cutOff(Entry->Keys, Load, false, Now);
+  if (!Part || Part->size() < SmallestPart) {
+    Part = Own.cutOff(Entry->Keys, Load, true, Now);
+  }
+  return Part;
 }
 
 } // namespace hemlockspar
--- a/mesh/KeyPlanner.h
+++ b/mesh/KeyPlanner.h
@@ -3,6 +3,8 @@
 #include "mesh/KeyLoads.h"
 #include "mesh/KeyMap.h"
 
+#include <set>
+
 namespace hemlockspar {
 
 /// A backend server that may be given keys.
@@ -31,12 +33,21 @@
                                 const std::vector<KeySpan> &Spans,
                                 const std::vector<KeyMember> &Members);
 
-/// What the owner \p Self gives away now, if anything. Answers two loads: a
-/// backend server that has joined and owns nothing (the most loaded owners
-/// give it half of what they carry), and hot keys that keep one owner much
-/// busier than another. \p Members holds Self, with the loads of all.
-std::optional<PlannedGift> planGift(const KeyMap &Map, const KeyHolder &Self,
-                                    const std::vector<KeyMember> &Members,
-                                    const KeyLoads &Own, TimePoint Now);
+/// To whom the owner \p Self should offer keys now, if to anyone. Answers two
+/// loads: a backend server that has joined and owns nothing (the most loaded
+/// owners offer it a part), and hot keys that keep one owner much busier than
+/// another. \p Members holds Self, with the loads of all as far as known;
+/// those in \p Declined have just turned an offer down.
+std::optional<KeyHolder> chooseReceiver(const KeyMap &Map,
+                                        const KeyHolder &Self,
+                                        const std::vector<KeyMember> &Members,
+                                        const std::set<InstanceId> &Declined);
+
+/// Which keys of \p Self go to a receiver whose load is \p ReceiverLoad, given
+/// the own load; nothing when no part is worth moving.
+std::optional<KeySpan> choosePart(const KeyMap &Map, const KeyHolder &Self,
+                                  double SelfLoad, double ReceiverLoad,
+                                  bool ReceiverEmpty, const KeyLoads &Own,
+                                  TimePoint Now);
 
 } // namespace hemlockspar
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.h"
 #include "mesh/Ingress.h"
+#include "mesh/OfferCalls.h"
 #include "mesh/ServerDesk.h"
 #include "mesh/StorePath.h"
 #include "mesh/StoreSync.h"
@@ -71,7 +72,7 @@
   void commitMap(const TableTransaction &Write) override;
   void readLeases() override;
   void readMesh() override;
-  void grantsChanged() override;
+  void offer(const InstanceId &Receiver, double Load) override;
   void decided(KeyEvent Event, const std::string &Detail) override;
 
   // IngressEvents
@@ -91,6 +92,7 @@
   std::unique_ptr<Store> Rows;
   StoreSync Sync;
   LocalServer Server;
+  OfferCalls Offers;
   KeyKeeper Keeper;
   Gate Way;
   Ingress Requests;
@@ -123,6 +125,7 @@
            [this] { return this->relayPeers(); }),
       Rows(Adapters.MakeStore(Io, Path)),
       Sync(Io, *Rows, View, *Adapters.Configurations), Server(Config, View),
+      Offers(Io, Config.Inner.Host),
       Keeper(Config.Instance, chooseProcessNumber(),
              {Config.Heartbeat, Config.LongestHold}, View, *this,
              BootClock::now()),
@@ -234,9 +237,14 @@
 
 HttpResponse MeshDaemon::serveInner(HttpRequest &Request, CallerWatch &Watch,
                                     const asio::yield_context &Yield) {
-  return StorePath::isRelayCall(Request)
-             ? this->Path.relay(Request, Yield)
-             : this->Requests.servePeer(Request, Watch, Yield);
+  if (StorePath::isRelayCall(Request)) {
+    return this->Path.relay(Request, Yield);
+  }
+  if (auto Load = OfferCalls::readOffer(Request)) {
+    return OfferCalls::writeAnswer(
+        this->Keeper.onOffer(*Load, BootClock::now()));
+  }
+  return this->Requests.servePeer(Request, Watch, Yield);
 }
 
 bool MeshDaemon::isReady() const {
@@ -381,7 +389,20 @@
 
 void MeshDaemon::readMesh() { this->Sync.readMesh(); }
 
-void MeshDaemon::grantsChanged() {}
+void MeshDaemon::offer(const InstanceId &Receiver, double Load) {
+  const InstanceRow *Row = this->View.findInstance(Receiver);
+  if (!Row) {
+    asio::post(this->Io, [this, Receiver] {
+      this->Keeper.onOfferAnswer(Receiver, std::nullopt, BootClock::now());
+    });
+    return;
+  }
+  this->Offers.send(Row->Inner, Load,
+                    [this, Receiver](const std::optional<OfferAnswer> &Answer) {
+                      this->Keeper.onOfferAnswer(Receiver, Answer,
+                                                 BootClock::now());
+                    });
+}
 
 void MeshDaemon::decided(KeyEvent Event, const std::string &Detail) {
   LogLine(LogLevel::Info, "keys", nameOf(Event))
--- a/mesh/StorePath.cpp
+++ b/mesh/StorePath.cpp
@@ -91,6 +91,10 @@
 
 ExchangeResult StorePath::direct(HttpRequest &Request, Duration Timeout,
                                  const asio::yield_context &Yield) {
+  LogLine(LogLevel::Debug, "store", "call")
+      .with("method", std::string(Request.method_string()))
+      .with("target", std::string(Request.target()));
+
   CallerWatch Watch;
   if (changesNothing(Request)) {
     this->Reading.insert(&Watch);
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -16,8 +16,8 @@
 /// table is read.
 constexpr auto CatchUpPause = std::chrono::milliseconds(150);
 
-/// Owners that are not where the view has them say so, which brings a reading;
-/// each answer is a priced call.
+/// An instance that does not own a key any more says who does, so requests do
+/// not wait for this; each answer is a priced call.
 constexpr auto MeshWait = std::chrono::seconds(12);
 
 /// Between two readings of the mesh's table that were asked for.
@@ -31,8 +31,8 @@
 constexpr auto ShortestMeshPause = std::chrono::milliseconds(120);
 
 /// Added for each instance: the more there are, the more rows change.
-constexpr auto MeshPauseStep = std::chrono::milliseconds(6);
-constexpr auto LongestMeshPause = std::chrono::milliseconds(600);
+constexpr auto MeshPauseStep = std::chrono::milliseconds(15);
+constexpr auto LongestMeshPause = std::chrono::milliseconds(1000);
 
 } // namespace
 
--- a/mesh/Try.h
+++ b/mesh/Try.h
@@ -74,6 +74,10 @@
   /// For Busy: how long it would have waited.
   Duration Wait{};
 
+  /// For NotOwner: the owner as the instance that was asked knows it; empty
+  /// when it knows none.
+  InstanceId Owner;
+
   /// How busy the backend server is; nothing when that is not known.
   std::optional<ServerLoad> Load;
 
