mesh: only owners of keys follow the table of keys

Others read it each 15 s, are told of moved keys by the owner before, and read it at once when a key has no owner that they know.

--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -10,7 +10,7 @@
 
 constexpr char Header[] = "Hs-Hop";
 constexpr std::size_t TermFields = 8;
-constexpr std::size_t ResultFields = 10;
+constexpr std::size_t ResultFields = 12;
 
 /// Stands for a field without a value.
 constexpr char NoValue[] = "-";
@@ -80,7 +80,9 @@
                             Load.Waiting, " ", Load.Slots, " ",
                             toMilliseconds(Load.Mean), " ",
                             Result.Configuration, " ",
-                            Result.Owner.empty() ? NoValue : Result.Owner));
+                            Result.Owner.empty() ? NoValue : Result.Owner, " ",
+                            Result.OwnersKeys.From, " ",
+                            Result.OwnersKeys.To));
   return Response;
 }
 
@@ -106,6 +108,8 @@
   Result.Configuration = static_cast<std::uint64_t>(numberOf(Fields[8]));
   if (Fields[9] != NoValue) {
     Result.Owner = Fields[9];
+    Result.OwnersKeys = {static_cast<KeyNumber>(numberOf(Fields[10])),
+                         static_cast<KeyNumber>(numberOf(Fields[11]))};
   }
   if (Load.Slots > 0) {
     Result.Load = Load;
--- a/mesh/Ingress.cpp
+++ b/mesh/Ingress.cpp
@@ -28,6 +28,9 @@
 /// part of its time; then it is refused, so that the caller can come back.
 constexpr double LookShare = 0.5;
 
+/// Words of moved keys that are kept for one service until its map is read.
+constexpr std::size_t MostHints = 32;
+
 /// A try that has less time than this left cannot end well.
 constexpr auto ShortestTry = std::chrono::milliseconds(20);
 
@@ -88,9 +91,6 @@
   bool MayHaveRun = false;
   InstanceId Last;
 
-  /// The owner that another instance named.
-  InstanceId NamedOwner;
-
   /// The shortest wait that any instance told.
   std::optional<Duration> BestWait;
 };
@@ -229,22 +229,48 @@
     return this->Picker.pick(this->View, Way.Terms.Service, Way.Tried, Now);
   }
 
-  // Whoever owned the key before may know better than the view.
-  InstanceId Owner = std::move(Way.NamedOwner);
-  Way.NamedOwner.clear();
+  InstanceId Owner = this->ownerOf(Way.Terms.Service, *Way.Terms.Key);
   if (Owner.empty()) {
-    Owner = this->ownerOf(Way.Terms.Service, *Way.Terms.Key);
+    this->Events.ownerWrong();
   }
   bool Usable = this->View.findInstance(Owner) &&
                 !this->Picker.isSuspect(Owner, Now);
   return Usable ? std::optional(Owner) : std::nullopt;
 }
 
-InstanceId Ingress::ownerOf(const std::string &Service, KeyNumber Key) const {
+InstanceId Ingress::ownerOf(const std::string &Service, KeyNumber Key) {
   const MeshView::VersionedKeyMap *Owners = this->View.findKeyMap(Service);
+  std::vector<Hint> &Known = this->Hints[Service];
+  std::erase_if(Known, [&](const Hint &Told) {
+    return !Owners || Told.MapVersion != Owners->Version;
+  });
+
+  // Whoever owned the key before knows better than an old view.
+  for (auto Told = Known.rbegin(); Told != Known.rend(); ++Told) {
+    if (Told->Keys.contains(Key)) {
+      return Told->Owner;
+    }
+  }
   return Owners ? Owners->Map.find(Key).Holder.Instance : InstanceId();
 }
 
+void Ingress::takeHint(const TryResult &Result, const Journey &Way) {
+  const MeshView::VersionedKeyMap *Owners =
+      this->View.findKeyMap(Way.Terms.Service);
+  bool Useful = Owners && !Result.Owner.empty() && Result.Owner != Way.Last;
+  if (!Useful) {
+    this->Events.ownerWrong();
+    return;
+  }
+
+  std::vector<Hint> &Known = this->Hints[Way.Terms.Service];
+  if (Known.size() >= MostHints) {
+    Known.erase(Known.begin());
+    this->Events.ownerWrong();
+  }
+  Known.push_back({Result.OwnersKeys, Result.Owner, Owners->Version});
+}
+
 Duration Ingress::allowedWait(const Journey &Way, TimePoint Now) const {
   Duration Left = Way.Terms.GiveUpAt - Now;
   Duration Aim = Way.ArrivedAt + Way.Chosen->Objective - Now;
@@ -282,10 +308,7 @@
     this->Picker.onReached(Instance);
   }
   if (Way.Keyed && Result.Reason == TryReason::NotOwner) {
-    Way.NamedOwner = Result.Owner;
-    if (Result.Owner.empty()) {
-      this->Events.ownerWrong();
-    }
+    this->takeHint(Result, Way);
   }
   bool Unavailable = Result.Reason == TryReason::ServerUnavailable ||
                      Result.Reason == TryReason::Leaving;
@@ -383,7 +406,8 @@
   if (!MayLook) {
     return NextStep::Finish;
   }
-  bool Named = !Way.NamedOwner.empty() && Way.NamedOwner != Way.Last;
+  bool Named = Result.Reason == TryReason::NotOwner && !Result.Owner.empty() &&
+               Result.Owner != Way.Last;
   return Named ? NextStep::TryNow : NextStep::TryAfterPause;
 }
 
@@ -448,12 +472,24 @@
       .with("ms", toMilliseconds(BootClock::now() - Now));
   Result.Configuration = this->versionInForce();
   if (Terms->Key && Result.Reason == TryReason::NotOwner) {
-    InstanceId Owner = this->ownerOf(Terms->Service, *Terms->Key);
-    Result.Owner = Owner == this->Config.Instance ? InstanceId() : Owner;
+    this->nameOwner(Result, *Terms);
   }
   return hop::writeResult(std::move(Result));
 }
 
+void Ingress::nameOwner(TryResult &Result, const TryTerms &Terms) const {
+  const MeshView::VersionedKeyMap *Owners =
+      this->View.findKeyMap(Terms.Service);
+  if (!Owners) {
+    return;
+  }
+  const OwnedKeys &Entry = Owners->Map.find(*Terms.Key);
+  if (Entry.Holder.Instance != this->Config.Instance) {
+    Result.Owner = Entry.Holder.Instance;
+    Result.OwnersKeys = Entry.Keys;
+  }
+}
+
 std::uint64_t Ingress::versionInForce() const {
   const ConfigurationPtr &InForce = this->View.configuration();
   return InForce ? InForce->Version : 0;
--- a/mesh/Ingress.h
+++ b/mesh/Ingress.h
@@ -49,6 +49,14 @@
 private:
   struct Journey;
 
+  /// An owner's word that keys have moved on; good until the map of owners is
+  /// newer than it was.
+  struct Hint {
+    KeySpan Keys;
+    InstanceId Owner;
+    RowVersion MapVersion = 0;
+  };
+
   /// What to do after a try.
   enum class NextStep { Finish, TryNow, TryAfterPause };
 
@@ -69,7 +77,9 @@
   HttpResponse refuse(http::status Status, const std::string &RequestId,
                       const char *Reason, std::optional<Duration> RetryAfter);
   std::string pickTarget(const Route &Chosen);
-  InstanceId ownerOf(const std::string &Service, KeyNumber Key) const;
+  InstanceId ownerOf(const std::string &Service, KeyNumber Key);
+  void takeHint(const TryResult &Result, const Journey &Way);
+  void nameOwner(TryResult &Result, const TryTerms &Terms) const;
   std::uint64_t versionInForce() const;
   void log(const TryResult &Result, const Journey &Way) const;
 
@@ -84,6 +94,7 @@
   InstancePicker Picker;
   RetryBudget Budget;
   std::mt19937_64 Random;
+  std::map<std::string, std::vector<Hint>> Hints;
   bool Stopping = false;
   bool Refusing = false;
 };
--- a/mesh/KeyKeeper.cpp
+++ b/mesh/KeyKeeper.cpp
@@ -44,7 +44,7 @@
 /// for owners that are gone.
 constexpr auto LeaseReadInterval = std::chrono::milliseconds(3500);
 
-constexpr auto MeshReadPause = std::chrono::milliseconds(300);
+constexpr auto KeysReadPause = std::chrono::milliseconds(300);
 
 /// Between two offers of one owner when the first was turned down.
 constexpr auto OfferPause = std::chrono::milliseconds(300);
@@ -109,7 +109,7 @@
 
 bool KeyKeeper::mayAct(TimePoint Now) const {
   return this->Lease.holds(Now) &&
-         this->View.completeAt() >= this->Lease.unbrokenSince();
+         this->View.keysReadAt() >= this->Lease.unbrokenSince();
 }
 
 bool KeyKeeper::serverLost(TimePoint Now) const {
@@ -306,13 +306,13 @@
   auto Version = this->Lease.version();
   bool Doubtful = this->DoubtfulFrom && Version &&
                   *Version > *this->DoubtfulFrom &&
-                  this->View.completeAt() < *Version;
+                  this->View.keysReadAt() < *Version;
   bool TooOld =
       Holds && (Doubtful ||
-                this->View.completeAt() < this->Lease.unbrokenSince());
-  if (TooOld && Now >= this->MeshAskedAt + MeshReadPause) {
-    this->MeshAskedAt = Now;
-    this->Actions.readMesh();
+                this->View.keysReadAt() < this->Lease.unbrokenSince());
+  if (TooOld && Now >= this->KeysAskedAt + KeysReadPause) {
+    this->KeysAskedAt = Now;
+    this->Actions.readKeys();
   }
 }
 
@@ -667,7 +667,7 @@
     this->Lease.renewSoon();
     return;
   }
-  if (this->View.completeAt() >= *Version) {
+  if (this->View.keysReadAt() >= *Version) {
     this->DoubtfulFrom.reset();
   }
 }
@@ -685,8 +685,8 @@
     this->WriteRetryAt = Now + WriteRetryPause;
     this->LeasesWanted = this->LeasesWanted || Kind == MapWrite::Takeover;
     if (Commit.Result.Outcome != CommitOutcome::NotRun) {
-      this->MeshAskedAt = Now;
-      this->Actions.readMesh();
+      this->KeysAskedAt = Now;
+      this->Actions.readKeys();
     }
     return;
   }
--- a/mesh/KeyKeeper.h
+++ b/mesh/KeyKeeper.h
@@ -49,8 +49,8 @@
   /// Reads the table of leases; the answer goes to onLeases.
   virtual void readLeases() = 0;
 
-  /// Reads the table of the mesh as a whole into the view.
-  virtual void readMesh() = 0;
+  /// Reads the whole table of keys into the view.
+  virtual void readKeys() = 0;
 
   /// Asks \p Receiver whether it takes keys from an owner whose load is
   /// \p Load; its word goes to onOfferAnswer.
@@ -226,7 +226,7 @@
   bool LeasesAsked = false;
   TimePoint NextLeasesAt;
   TimePoint LeasesDueAt;
-  TimePoint MeshAskedAt;
+  TimePoint KeysAskedAt;
   std::size_t MembersSeen = 0;
   TimePoint MembersChangedAt;
 
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -71,13 +71,16 @@
   void commitLease(const TableTransaction &Write) override;
   void commitMap(const TableTransaction &Write) override;
   void readLeases() override;
-  void readMesh() override;
+  void readKeys() override;
   void offer(const InstanceId &Receiver, double Load) override;
   void decided(KeyEvent Event, const std::string &Detail) override;
 
   // IngressEvents
-  void ownerUnreachable() override { this->Keeper.suspectOwners(); }
-  void ownerWrong() override { this->Sync.refreshMesh(); }
+  void ownerUnreachable() override {
+    this->Keeper.suspectOwners();
+    this->Sync.refreshKeys();
+  }
+  void ownerWrong() override { this->Sync.refreshKeys(); }
   void configurationSeen(std::uint64_t Version) override {
     this->Sync.onConfigurationSeen(Version);
   }
@@ -274,6 +277,7 @@
     this->Way.expireWaiting();
   }
   if (this->isKeyed()) {
+    this->Sync.followKeys();
     this->Keeper.setLoad(this->Way.busyShare(Now));
     this->Keeper.tick(Now);
   }
@@ -387,7 +391,7 @@
       });
 }
 
-void MeshDaemon::readMesh() { this->Sync.readMesh(); }
+void MeshDaemon::readKeys() { this->Sync.readKeys(); }
 
 void MeshDaemon::offer(const InstanceId &Receiver, double Load) {
   const InstanceRow *Row = this->View.findInstance(Receiver);
--- a/mesh/MeshView.cpp
+++ b/mesh/MeshView.cpp
@@ -8,12 +8,9 @@
 
 namespace {
 
-constexpr std::string_view InstancePrefix = "hemlockspar/instance/";
-constexpr std::string_view KeyMapPrefix = "hemlockspar/keys/";
-
-/// The rest of \p Key behind \p Prefix; nothing when it begins otherwise.
-std::optional<std::string> nameBehind(const std::string &Key,
-                                      std::string_view Prefix) {
+/// The name of row \p Key when it is in \p Table; nothing otherwise.
+std::optional<std::string> nameIn(const std::string &Key, const char *Table) {
+  std::string Prefix = rowKey(Table, "");
   return Key.starts_with(Prefix)
              ? std::optional(Key.substr(Prefix.size()))
              : std::nullopt;
@@ -29,11 +26,11 @@
 } // namespace
 
 std::string MeshView::instanceKey(const InstanceId &Instance) {
-  return std::string(InstancePrefix) + Instance;
+  return rowKey(tables::Instances, Instance);
 }
 
 std::string MeshView::keyMapKey(const std::string &Service) {
-  return std::string(KeyMapPrefix) + Service;
+  return rowKey(tables::Keys, Service);
 }
 
 bool MeshView::adopt(ConfigurationPtr Fresh) {
@@ -57,9 +54,11 @@
     this->applyRow(Row);
   }
 
-  if (Rows.Complete && Rows.Version >= this->completeAt()) {
+  auto Before = this->ReadAt.find(Rows.Table);
+  bool Newer = Before == this->ReadAt.end() || Before->second <= Rows.Version;
+  if (Rows.Complete && Newer) {
     this->removeUnlisted(Rows);
-    this->CompleteAt = Rows.Version;
+    this->ReadAt[Rows.Table] = Rows.Version;
   }
   this->notify();
 }
@@ -71,7 +70,7 @@
   }
   Known = Row.Version;
 
-  if (auto Instance = nameBehind(Row.Key, InstancePrefix)) {
+  if (auto Instance = nameIn(Row.Key, tables::Instances)) {
     auto Parsed = Row.Value ? InstanceRow::fromText(*Row.Value) : std::nullopt;
     if (Parsed && Parsed->Instance == *Instance) {
       this->Instances[*Instance] = std::move(*Parsed);
@@ -81,7 +80,7 @@
       logUnreadable(Row);
     }
     this->Instances.erase(*Instance);
-  } else if (auto Service = nameBehind(Row.Key, KeyMapPrefix)) {
+  } else if (auto Service = nameIn(Row.Key, tables::Keys)) {
     auto Parsed = Row.Value ? KeyMap::fromText(*Row.Value) : std::nullopt;
     if (Parsed) {
       this->KeyMaps[*Service] = {std::move(*Parsed), Row.Version};
@@ -101,17 +100,23 @@
   }
 
   for (const auto &[Key, Version] : this->Versions) {
-    if (Version > Rows.Version || Listed.contains(Key)) {
+    auto Name = nameIn(Key, Rows.Table.c_str());
+    if (!Name || Version > Rows.Version || Listed.contains(Key)) {
       continue;
     }
-    if (auto Instance = nameBehind(Key, InstancePrefix)) {
-      this->Instances.erase(*Instance);
-    } else if (auto Service = nameBehind(Key, KeyMapPrefix)) {
-      this->KeyMaps.erase(*Service);
+    if (Rows.Table == tables::Instances) {
+      this->Instances.erase(*Name);
+    } else {
+      this->KeyMaps.erase(*Name);
     }
   }
 }
 
+RowVersion MeshView::keysReadAt() const {
+  auto Place = this->ReadAt.find(tables::Keys);
+  return Place == this->ReadAt.end() ? 0 : Place->second;
+}
+
 const InstanceRow *MeshView::findInstance(const InstanceId &Instance) const {
   auto Place = this->Instances.find(Instance);
   return Place == this->Instances.end() ? nullptr : &Place->second;
--- a/mesh/MeshView.h
+++ b/mesh/MeshView.h
@@ -22,7 +22,7 @@
     RowVersion Version = 0;
   };
 
-  /// Names of the rows, within the table tables::Mesh.
+  /// Keys of the rows.
   static std::string instanceKey(const InstanceId &Instance);
   static std::string keyMapKey(const std::string &Service);
 
@@ -30,7 +30,7 @@
   /// is.
   bool adopt(ConfigurationPtr Fresh);
 
-  /// Takes in rows of the table tables::Mesh.
+  /// Takes in rows of the tables of instances and of keys.
   void apply(const StoreRows &Rows);
 
   /// Null before the first one is known.
@@ -47,11 +47,11 @@
   /// Null when the service's keys have never had owners.
   const VersionedKeyMap *findKeyMap(const std::string &Service) const;
 
-  /// The version of the newest reading of the whole table; 0 before it.
-  RowVersion completeAt() const { return this->CompleteAt.value_or(0); }
+  /// Version of the newest reading of the whole table of keys; 0 before it.
+  RowVersion keysReadAt() const;
 
-  /// Whether the whole table has been read; it may have been empty.
-  bool wasRead() const { return this->CompleteAt.has_value(); }
+  /// Whether both tables have been read; they may have been empty.
+  bool wasRead() const { return this->ReadAt.size() == 2; }
 
   /// \p OnChange is called after each change.
   void listen(std::function<void()> OnChange);
@@ -67,7 +67,9 @@
 
   /// Versions of all rows seen, deleted ones too.
   std::map<std::string, RowVersion> Versions;
-  std::optional<RowVersion> CompleteAt;
+
+  /// Version of the newest reading of each whole table.
+  std::map<std::string, RowVersion> ReadAt;
   std::vector<std::function<void()>> Listeners;
 };
 
--- a/mesh/Store.h
+++ b/mesh/Store.h
@@ -12,8 +12,12 @@
 /// Written by operators only.
 inline constexpr char Operator[] = "op";
 
-/// Instances and owners of keys; every daemon follows it.
-inline constexpr char Mesh[] = "hemlockspar";
+/// Instances; every daemon follows it.
+inline constexpr char Instances[] = "hemlockspar";
+
+/// Owners of keys, a row a service; followed by those who own keys. Others
+/// read it now and then, and are told of moved keys by the owners before.
+inline constexpr char Keys[] = "hemlockspar-keys";
 
 /// Leases; read when needed, since they change every few seconds.
 inline constexpr char Leases[] = "hemlockspar-leases";
@@ -33,6 +37,7 @@
 /// Rows of one table. Complete: all rows of it; otherwise the rows that
 /// changed after the version that was asked for.
 struct StoreRows {
+  std::string Table;
   RowVersion Version = 0;
   bool Complete = false;
   std::vector<TableRow> Rows;
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -18,9 +18,15 @@
 
 /// An instance that does not own a key any more says who does, so requests do
 /// not wait for this; each answer is a priced call.
-constexpr auto MeshWait = std::chrono::seconds(12);
+constexpr auto MeshWait = std::chrono::seconds(15);
 
-/// Between two readings of the mesh's table that were asked for.
+/// Until keys have owners they are looked for this often.
+constexpr auto NoKeysInterval = std::chrono::milliseconds(2500);
+
+/// Where no keys are owned, the table of keys is read this often.
+constexpr auto KeysInterval = std::chrono::seconds(15);
+
+/// Between two readings of the table of keys that were asked for.
 constexpr auto ReadPause = std::chrono::milliseconds(400);
 
 /// After a call that failed.
@@ -40,11 +46,21 @@
                      const ConfigurationCodec &Codec)
     : Rows(Rows), View(View), Codec(Codec),
       Operator(Io, tables::Operator, OperatorWait),
-      Mesh(Io, tables::Mesh, MeshWait), WriteTimer(Io), CatchUpTimer(Io) {}
+      Instances(Io, tables::Instances, MeshWait),
+      Keys(Io, tables::Keys, MeshWait), WriteTimer(Io), CatchUpTimer(Io) {}
 
 void StoreSync::start() {
   this->advance(this->Operator);
-  this->advance(this->Mesh);
+  this->advance(this->Instances);
+  this->advance(this->Keys);
+}
+
+void StoreSync::followKeys() {
+  if (!this->FollowsKeys) {
+    this->FollowsKeys = true;
+    this->Keys.Timer.cancel();
+    this->advance(this->Keys);
+  }
 }
 
 void StoreSync::advance(Feed &Followed) {
@@ -65,6 +81,13 @@
                          this->take(Followed, *Read);
                          Followed.Known = true;
                          Followed.Version = Read->Version;
+                         if (&Followed == &this->Keys && !this->FollowsKeys) {
+                           Followed.Known = false;
+                           bool Laid = !Read->Rows.empty();
+                           this->advanceAfter(Followed, Laid ? KeysInterval
+                                                             : NoKeysInterval);
+                           return;
+                         }
                          this->advance(Followed);
                        });
 }
@@ -97,21 +120,21 @@
 
   this->take(Followed, Result.Rows);
   Followed.Version = std::max(Followed.Version, Result.Rows.Version);
-  bool Pause = !Result.Rows.Rows.empty() && &Followed == &this->Mesh;
+  bool Pause = !Result.Rows.Rows.empty() && &Followed != &this->Operator;
   if (Pause) {
-    this->advanceAfter(Followed, this->meshPause());
+    this->advanceAfter(Followed, this->changePause());
   } else {
     this->advance(Followed);
   }
 }
 
-Duration StoreSync::meshPause() const {
+Duration StoreSync::changePause() const {
   auto Step = MeshPauseStep * static_cast<int>(this->View.instances().size());
   return std::clamp<Duration>(Step, ShortestMeshPause, LongestMeshPause);
 }
 
 void StoreSync::take(Feed &Followed, const StoreRows &Rows) {
-  if (&Followed == &this->Mesh) {
+  if (&Followed != &this->Operator) {
     this->View.apply(Rows);
     return;
   }
@@ -170,8 +193,17 @@
                        });
 }
 
-void StoreSync::readMesh() {
-  this->Rows.readTable(tables::Mesh,
+void StoreSync::readInstances() {
+  this->Rows.readTable(tables::Instances,
+                       [this](const std::optional<StoreRows> &Read) {
+                         if (Read) {
+                           this->View.apply(*Read);
+                         }
+                       });
+}
+
+void StoreSync::readKeys() {
+  this->Rows.readTable(tables::Keys,
                        [this](const std::optional<StoreRows> &Read) {
                          if (Read) {
                            this->View.apply(*Read);
@@ -179,11 +211,11 @@
                        });
 }
 
-void StoreSync::refreshMesh() {
+void StoreSync::refreshKeys() {
   TimePoint Now = BootClock::now();
   if (Now >= this->NextReadAt) {
     this->NextReadAt = Now + ReadPause;
-    this->readMesh();
+    this->readKeys();
   }
 }
 
@@ -229,7 +261,7 @@
   // Another version of the row is there, or the write may be done late: the
   // table tells.
   if (Commit.Result.Outcome != CommitOutcome::NotRun) {
-    this->readMesh();
+    this->readInstances();
   }
   this->WriteTimer.expires_after(RetryPause);
   this->WriteTimer.async_wait([this](const boost::system::error_code &Error) {
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -9,8 +9,9 @@
 
 namespace hemlockspar {
 
-/// Keeps the view in step with the store: awaits changes of the operator's
-/// table and of the mesh's, and writes this instance's own row.
+/// Keeps the view in step with the store: awaits changes of the tables of the
+/// operator, of instances and, where keys are owned here, of keys, and writes
+/// this instance's own row.
 class StoreSync {
 public:
   StoreSync(boost::asio::io_context &Io, Store &Rows, MeshView &View,
@@ -21,12 +22,15 @@
   /// The row that others are to see of this instance.
   void setOwnRow(const InstanceRow &Row);
 
-  /// Reads the whole table of the mesh into the view.
-  void readMesh();
+  /// Reads the whole table of keys into the view.
+  void readKeys();
 
-  /// As readMesh, but no more often than every few hundred milliseconds: what
+  /// As readKeys, but no more often than every few hundred milliseconds: what
   /// the view says of owners has turned out to be old.
-  void refreshMesh();
+  void refreshKeys();
+
+  /// From now on changes of the table of keys are awaited.
+  void followKeys();
 
   /// Another instance has configuration \p Version in force: unless it comes
   /// at once, the wait for it has become deaf and the table is read.
@@ -52,7 +56,8 @@
   void advanceAfter(Feed &Followed, Duration Pause);
   void onFollowed(Feed &Followed, const FollowResult &Result);
   void take(Feed &Followed, const StoreRows &Rows);
-  Duration meshPause() const;
+  void readInstances();
+  Duration changePause() const;
   bool isBehind() const;
   void readOperator();
   void takeConfiguration(const TableRow &Row);
@@ -63,7 +68,9 @@
   MeshView &View;
   const ConfigurationCodec &Codec;
   Feed Operator;
-  Feed Mesh;
+  Feed Instances;
+  Feed Keys;
+  bool FollowsKeys = false;
 
   boost::asio::steady_timer WriteTimer;
   std::optional<InstanceRow> Wanted;
--- a/mesh/Try.h
+++ b/mesh/Try.h
@@ -74,9 +74,10 @@
   /// For Busy: how long it would have waited.
   Duration Wait{};
 
-  /// For NotOwner: the owner as the instance that was asked knows it; empty
-  /// when it knows none.
+  /// For NotOwner: the owner as the instance that was asked knows it, and all
+  /// keys about this one that it owns; empty when it knows none.
   InstanceId Owner;
+  KeySpan OwnersKeys;
 
   /// How busy the backend server is; nothing when that is not known.
   std::optional<ServerLoad> Load;
