mesh: keys count as let go only on the backend server's word; doubts settle

Now released rows must make up all of the keys, or the longest grant of them has run out; a doubt asks for one renewal.

--- a/mesh/KeyKeeper.cpp
+++ b/mesh/KeyKeeper.cpp
@@ -83,6 +83,22 @@
   return std::to_string(Keys.From) + ".." + std::to_string(Keys.To);
 }
 
+/// Whether \p Parts make up all of \p Keys.
+bool covers(const std::vector<ReleasedKeys> &Parts, const KeySpan &Keys) {
+  KeyNumber Next = Keys.From;
+  bool Advanced = true;
+  while (Advanced && Next <= Keys.To) {
+    Advanced = false;
+    for (const ReleasedKeys &Part : Parts) {
+      if (Part.Keys.contains(Next)) {
+        Next = Part.Keys.To + 1;
+        Advanced = true;
+      }
+    }
+  }
+  return Next > Keys.To;
+}
+
 bool isSound(const ServerReport &Report) { return !Report.Leaving; }
 
 } // namespace
@@ -168,14 +184,15 @@
         Given.Released.push_back({Part, Freed.Handover});
       }
     }
-    bool Held = std::any_of(Report.Held.begin(), Report.Held.end(),
-                            [&](const HeldKeys &Keys) {
-                              return Keys.Keys.overlaps(Given.Keys);
-                            });
-    Given.LetGo = Given.LetGo || !Held;
   }
 }
 
+bool KeyKeeper::hasLetGo(const Gift &Given, TimePoint Now) {
+  // That a report does not list keys says nothing: it may have been sent
+  // before the keys were granted.
+  return Now >= Given.HoldEnd || covers(Given.Released, Given.Keys);
+}
+
 std::optional<KeyGrants> KeyKeeper::grant(TimePoint ReceivedAt, TimePoint Now) {
   const MeshView::VersionedKeyMap *Known = this->map();
   bool Doubtful = this->inDoubt() && this->DoubtfulLoss;
@@ -338,7 +355,7 @@
     this->tryFirstLayout(Now);
     return;
   }
-  if (this->tryAdopt() || this->tryFinishGifts() ||
+  if (this->tryAdopt() || this->tryFinishGifts(Now) ||
       this->tryGiveUpServer(Now) || this->tryTakeover(Now)) {
     return;
   }
@@ -416,14 +433,15 @@
   return Changed;
 }
 
-bool KeyKeeper::tryFinishGifts() {
+bool KeyKeeper::tryFinishGifts(TimePoint Now) {
   KeyMap Fresh = this->map()->Map;
   bool Changed = false;
 
-  for (const Gift &Given : this->Gifts) {
-    if (!Given.LetGo) {
+  for (Gift &Given : this->Gifts) {
+    if (!hasLetGo(Given, Now)) {
       continue;
     }
+    Given.LetGo = true;
     Fresh.assign(Given.Keys, Given.To, "");
     for (const ReleasedKeys &Part : Given.Released) {
       Fresh.assign(Part.Keys, Given.To, Part.Handover);
@@ -601,7 +619,8 @@
 
 void KeyKeeper::begin(const PlannedGift &Planned, TimePoint Now) {
   this->NextGiftAt = Now + GiftPause;
-  this->Gifts.push_back({Planned.Keys, Planned.To, Now, {}, false});
+  this->Gifts.push_back(
+      {Planned.Keys, Planned.To, Now, this->HoldEnd, {}, false});
   std::sort(this->Gifts.begin(), this->Gifts.end(),
             [](const Gift &First, const Gift &Second) {
               return First.Keys < Second.Keys;
@@ -662,8 +681,10 @@
   }
 
   auto Version = this->Lease.version();
-  bool Defeated = Version && *Version > *this->DoubtfulFrom;
-  if (!Defeated) {
+  if (!Version) {
+    return;
+  }
+  if (*Version <= *this->DoubtfulFrom) {
     this->Lease.renewSoon();
     return;
   }
--- a/mesh/KeyKeeper.h
+++ b/mesh/KeyKeeper.h
@@ -147,7 +147,12 @@
     KeySpan Keys;
     KeyHolder To;
     TimePoint Since;
+
+    /// The backend server cannot hold them any more from then on.
+    TimePoint HoldEnd;
     std::vector<ReleasedKeys> Released;
+
+    /// Nobody holds them; they are in the write that is under way.
     bool LetGo = false;
   };
 
@@ -171,13 +176,14 @@
   void tendMap(TimePoint Now);
   bool tryFirstLayout(TimePoint Now);
   bool tryAdopt();
-  bool tryFinishGifts();
+  bool tryFinishGifts(TimePoint Now);
   bool tryGiveUpServer(TimePoint Now);
   bool tryTakeover(TimePoint Now);
   void planGifts(TimePoint Now);
   void planLeaving(TimePoint Now);
   void begin(const PlannedGift &Planned, TimePoint Now);
   void noteReleases(const ServerReport &Report);
+  static bool hasLetGo(const Gift &Given, TimePoint Now);
   void dropStaleGifts(TimePoint Now);
 
   double expectedLoad(TimePoint Now) const;
--- /dev/null
+++ b/tests/mesh/InstancePickerTest.cpp
@@ -0,0 +1,117 @@
+#include "mesh/InstancePicker.h"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockspar;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct PickerBox {
+  PickerBox() : Picker("north", "north-a", 1) {
+    this->add("near", "north", "north-a");
+    this->add("other", "north", "north-b");
+    this->add("far", "south", "south-a");
+    for (const char *Name : {"near", "other", "far"}) {
+      this->load(Name, 0);
+    }
+  }
+
+  void add(const std::string &Name, const std::string &Region,
+           const std::string &DataCenter) {
+    InstanceRow Row;
+    Row.Instance = Name;
+    Row.Region = Region;
+    Row.DataCenter = DataCenter;
+    Row.Inner = {"10.0.0.1", 7000};
+    Row.Service = "bookings";
+    Row.Slots = 6;
+    Row.State = ServerState::Ready;
+    ++this->Version;
+    this->View.apply({tables::Instances,
+                      0,
+                      false,
+                      {{MeshView::instanceKey(Name), this->Version,
+                        Row.toText()}},
+                      std::nullopt});
+  }
+
+  void load(const std::string &Name, std::uint32_t Waiting) {
+    ServerLoad Load = {6, Waiting, 6, milliseconds(250)};
+    Load.Running = Waiting > 0 ? 6 : 0;
+    this->Picker.onLoad(Name, Load, this->Now);
+  }
+
+  std::string pick(const std::set<InstanceId> &Tried = {}) {
+    return this->Picker.pick(this->View, "bookings", Tried, this->Now)
+        .value_or("none");
+  }
+
+  MeshView View;
+  InstancePicker Picker;
+  RowVersion Version = 0;
+  TimePoint Now{std::chrono::seconds(60)};
+};
+
+} // namespace
+
+/// The load pattern of a calm day: bytes between regions are paid for.
+Test(InstancePicker, StaysInItsRegionWhileThereIsRoom) {
+  PickerBox Box;
+  for (int Time = 0; Time < 100; ++Time) {
+    cr_assert(Box.pick() != "far");
+  }
+}
+
+/// The load pattern of a wave that fills one region.
+Test(InstancePicker, GoesToAnotherRegionWhenItsOwnIsFull) {
+  PickerBox Box;
+  Box.load("near", 20);
+  Box.load("other", 20);
+  cr_assert(Box.pick() == "far");
+}
+
+Test(InstancePicker, TriesEachOnce) {
+  PickerBox Box;
+  cr_assert(Box.pick({"near", "other"}) == "far");
+  cr_assert(Box.pick({"near", "other", "far"}) == "none");
+}
+
+/// The load pattern of a machine that went dark: requests must not queue up
+/// behind its time-outs.
+Test(InstancePicker, OneRequestAtATimeTriesTheUnreachable) {
+  PickerBox Box;
+  Box.Picker.onUnreachable("near", Box.Now);
+  Box.Picker.onUnreachable("other", Box.Now);
+  Box.Picker.onUnreachable("far", Box.Now);
+  cr_assert(Box.pick() == "none");
+
+  Box.Now += milliseconds(260);
+  std::set<std::string> Tried = {Box.pick(), Box.pick(), Box.pick()};
+  cr_assert_eq(Tried.size(), 3);
+  cr_assert(Box.pick() == "none");
+
+  Box.Picker.onReached("far");
+  Box.Now += milliseconds(260);
+  cr_assert(Box.pick() != "none");
+}
+
+Test(InstancePicker, AJoinerInTheRegionGetsRequests) {
+  PickerBox Box;
+  Box.add("new", "north", "north-b");
+  cr_assert(Box.pick() == "new");
+}
+
+Test(InstancePicker, LeavingServersGetNothing) {
+  PickerBox Box;
+  InstanceRow Row = *Box.View.findInstance("near");
+  Row.State = ServerState::Leaving;
+  Box.View.apply({tables::Instances,
+                  0,
+                  false,
+                  {{MeshView::instanceKey("near"), 99, Row.toText()}},
+                  std::nullopt});
+  for (int Time = 0; Time < 20; ++Time) {
+    cr_assert(Box.pick() != "near");
+  }
+}
--- /dev/null
+++ b/tests/mesh/KeyMapTest.cpp
@@ -0,0 +1,89 @@
+#include "mesh/KeyMap.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace hemlockspar;
+
+namespace {
+
+KeyHolder holder(int Number) {
+  return {"i" + std::to_string(Number), {"s" + std::to_string(Number), 7}};
+}
+
+KeySpan anySpan() {
+  KeyNumber First = *rc::gen::inRange<KeyNumber>(0, MaxKey + 1);
+  KeyNumber Second = *rc::gen::inRange<KeyNumber>(0, MaxKey + 1);
+  return {std::min(First, Second), std::max(First, Second)};
+}
+
+/// All keys are covered, in order, and neighbours differ.
+void assertCovers(const KeyMap &Map) {
+  KeyNumber Next = 0;
+  for (const OwnedKeys &Entry : Map.entries()) {
+    RC_ASSERT(Entry.Keys.From == Next);
+    RC_ASSERT(Entry.Keys.To >= Entry.Keys.From);
+    Next = Entry.Keys.To + 1;
+  }
+  RC_ASSERT(Next == MaxKey + 1);
+}
+
+} // namespace
+
+Test(KeyMap, AssignsEachKeyWithARisingToken) {
+  cr_assert(rc::check([] {
+    KeyMap Map;
+    int Steps = *rc::gen::inRange(1, 30);
+
+    for (int Step = 0; Step < Steps; ++Step) {
+      KeySpan Keys = anySpan();
+      KeyNumber Probe = *rc::gen::inRange<KeyNumber>(0, MaxKey + 1);
+      FencingToken Before = Map.find(Probe).Token;
+      KeyHolder Owner = Map.find(Probe).Holder;
+      KeyHolder Fresh = holder(*rc::gen::inRange(0, 4));
+
+      Map.assign(Keys, Fresh, "state");
+      assertCovers(Map);
+      const OwnedKeys &After = Map.find(Probe);
+      if (Keys.contains(Probe)) {
+        RC_ASSERT(After.Holder == Fresh);
+        RC_ASSERT(After.Token > Before);
+      } else {
+        RC_ASSERT(After.Holder == Owner);
+        RC_ASSERT(After.Token == Before);
+      }
+    }
+  }));
+}
+
+Test(KeyMap, TextKeepsEverything) {
+  cr_assert(rc::check([] {
+    KeyMap Map;
+    for (int Step = 0; Step < 10; ++Step) {
+      Map.assign(anySpan(), holder(Step % 3), Step % 2 ? "a\"b" : "");
+    }
+    auto Read = KeyMap::fromText(Map.toText());
+    RC_ASSERT(Read.has_value());
+    RC_ASSERT(Read->toText() == Map.toText());
+
+    // A key that is given anew gets a token above all, also after a reading.
+    Read->assign({5, 5}, holder(9), "");
+    for (const OwnedKeys &Entry : Map.entries()) {
+      RC_ASSERT(Read->find(5).Token > Entry.Token);
+    }
+  }));
+}
+
+Test(KeyMap, RefusesTextWithHolesAndOverlaps) {
+  const char *Wrong[] = {
+      "", "[]", "{}", R"({"token":1,"keys":[]})",
+      R"({"token":1,"keys":[[0,5,"a","b",1,1,""]]})",
+      R"({"token":1,"keys":[[0,5,"a","b",1,1,""],[7,65535,"a","b",1,1,""]]})",
+      R"({"token":1,"keys":[[0,9,"a","b",1,1,""],[7,65535,"a","b",1,1,""]]})",
+      R"({"token":1,"keys":[[0,65535,"a","b",1,2,""]]})",
+      R"({"token":1,"keys":[[0,65536,"a","b",1,1,""]]})",
+      R"({"token":1,"keys":[[0,65535,"a","b","x",1,""]]})"};
+  for (const char *Text : Wrong) {
+    cr_assert(!KeyMap::fromText(Text), "%s was taken", Text);
+  }
+}
--- /dev/null
+++ b/tests/mesh/MeshViewTest.cpp
@@ -0,0 +1,73 @@
+#include "mesh/MeshView.h"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockspar;
+
+namespace {
+
+TableRow instanceRow(const std::string &Name, RowVersion Version) {
+  InstanceRow Row;
+  Row.Instance = Name;
+  Row.Inner = {"10.0.0.1", 7000};
+  Row.State = ServerState::Ready;
+  return {MeshView::instanceKey(Name), Version, Row.toText()};
+}
+
+StoreRows rows(std::vector<TableRow> Rows, bool Complete, RowVersion Version) {
+  return {tables::Instances, Version, Complete, std::move(Rows), std::nullopt};
+}
+
+ConfigurationPtr configuration(std::uint64_t Version) {
+  Configuration Made;
+  Made.Version = Version;
+  return std::make_shared<const Configuration>(Made);
+}
+
+} // namespace
+
+Test(MeshView, ConfigurationsNeverGoBack) {
+  MeshView View;
+  cr_assert(View.adopt(configuration(7)));
+  cr_assert(!View.adopt(configuration(7)));
+  cr_assert(!View.adopt(configuration(5)));
+  cr_assert(View.adopt(configuration(12)));
+  cr_assert_eq(View.configuration()->Version, 12);
+}
+
+Test(MeshView, OlderRowsReplaceNothing) {
+  MeshView View;
+  View.apply(rows({instanceRow("a", 9)}, false, 0));
+  View.apply(rows({{MeshView::instanceKey("a"), 8, std::nullopt}}, false, 0));
+  cr_assert(View.findInstance("a"));
+  View.apply(rows({{MeshView::instanceKey("a"), 10, std::nullopt}}, false, 0));
+  cr_assert(!View.findInstance("a"));
+  View.apply(rows({instanceRow("a", 9)}, false, 0));
+  cr_assert(!View.findInstance("a"), "a deleted row came back");
+}
+
+Test(MeshView, AReadingRemovesWhatItDoesNotList) {
+  MeshView View;
+  View.apply(rows({instanceRow("a", 3), instanceRow("b", 9)}, false, 0));
+  View.apply(rows({}, true, 6));
+  cr_assert(!View.findInstance("a"));
+  cr_assert(View.findInstance("b"), "a row newer than the reading went");
+}
+
+Test(MeshView, AnEmptyStoreCountsAsRead) {
+  MeshView View;
+  cr_assert(!View.wasRead());
+  View.apply(rows({}, true, 0));
+  StoreRows Keys = rows({}, true, 0);
+  Keys.Table = tables::Keys;
+  View.apply(Keys);
+  cr_assert(View.wasRead());
+}
+
+Test(MeshView, UnreadableRowsNameNoInstance) {
+  MeshView View;
+  View.apply(rows({{MeshView::instanceKey("a"), 3, "{\"instance\":"},
+                   {MeshView::instanceKey("b"), 4, "[1]"}},
+                  false, 0));
+  cr_assert(View.instances().empty());
+}
