--- a/coordination/QueueDiscipline.cpp
+++ b/coordination/QueueDiscipline.cpp
@@ -243,8 +243,8 @@
   std::vector<QueuedRequest> Late;
   std::erase_if(this->Waiting, [&](const auto &Entry) {
     const QueuedRequest &Request = Entry.second;
-    bool IsLate = Now + this->Learned.expected(Request.Class) / 2 >=
-                  Request.Deadline;
+    bool IsLate =
+        Now + this->Learned.expected(Request.Class) / 2 >= Request.Deadline;
     if (IsLate) {
       Late.push_back(Request);
     }
--- a/daemon/SectionReader.h
+++ b/daemon/SectionReader.h
@@ -92,8 +92,8 @@
   }
 
   /// Reads a span of time as "1500ms" or "2.5s".
-  void readSpan(const char *Field, Duration Least, Duration Most,
-                bool Required, Duration &Target) {
+  void readSpan(const char *Field, Duration Least, Duration Most, bool Required,
+                Duration &Target) {
     auto Text = this->scalar(Field, Required);
     if (!Text) {
       return;
@@ -101,17 +101,17 @@
 
     auto Parsed = parseDuration(*Text);
     if (!Parsed || *Parsed < Least || *Parsed > Most) {
-      this->fault(Field, absl::StrCat("must be a time from ",
-                                      durationText(Least), " to ",
-                                      durationText(Most), ", as 1500ms"));
+      this->fault(Field,
+                  absl::StrCat("must be a time from ", durationText(Least),
+                               " to ", durationText(Most), ", as 1500ms"));
       return;
     }
     Target = *Parsed;
   }
 
   /// Reads a number from \p Least to \p Most.
-  void readFraction(const char *Field, double Least, double Most,
-                    bool Required, double &Target) {
+  void readFraction(const char *Field, double Least, double Most, bool Required,
+                    double &Target) {
     auto Text = this->scalar(Field, Required);
     if (!Text) {
       return;
--- a/daemon/hemlockspard.cpp
+++ b/daemon/hemlockspard.cpp
@@ -74,7 +74,7 @@
   }
   std::stringstream Text;
   Text << File.rdbuf();
-  return hemlockspar::isMeshSettings(Text.str()) ? runMesh(Text.str(), Path)
-                                                 : runKeyspaces(Text.str(),
-                                                                Path);
+  return hemlockspar::isMeshSettings(Text.str())
+             ? runMesh(Text.str(), Path)
+             : runKeyspaces(Text.str(), Path);
 }
--- a/mesh/Gate.cpp
+++ b/mesh/Gate.cpp
@@ -115,8 +115,8 @@
     return tryNotRun(Coming ? TryReason::KeyMoving : TryReason::NotOwner);
   }
 
-  this->Queue.setCapacity(std::max<std::uint32_t>(
-      this->Server.report().Slots, 1));
+  this->Queue.setCapacity(
+      std::max<std::uint32_t>(this->Server.report().Slots, 1));
   Duration Wait = this->expectedWait(Terms.Rank);
   if (Wait > Terms.MaxWait) {
     TryResult Refusal = tryNotRun(TryReason::Busy, Wait);
@@ -178,8 +178,7 @@
 }
 
 void Gate::applyVerdicts() {
-  for (const AdmissionDecision &Decision :
-       this->Queue.poll(BootClock::now())) {
+  for (const AdmissionDecision &Decision : this->Queue.poll(BootClock::now())) {
     auto Place = this->Waiters.find(Decision.Request);
     HS_FAIL_COND(Place == this->Waiters.end());
 
@@ -203,9 +202,9 @@
     return tryNotRun(TryReason::CallerGone);
   }
 
-  this->Dialect.prepareForServer(
-      Request, {Terms.GiveUpAt - Now, this->Server.report().Run.Id,
-                Terms.CallerService});
+  this->Dialect.prepareForServer(Request, {Terms.GiveUpAt - Now,
+                                           this->Server.report().Run.Id,
+                                           Terms.CallerService});
   ExchangeTerms Bounds;
   Bounds.Deadline = Terms.GiveUpAt + LastWordSlack;
   Bounds.Watch = &Watch;
--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -37,12 +37,11 @@
 
 void writeTerms(HttpRequest &Request, const TryTerms &Terms, TimePoint Now) {
   std::string Key = Terms.Key ? std::to_string(*Terms.Key) : NoValue;
-  Request.set(Header,
-              absl::StrCat(Terms.Service, " ", Key, " ", Terms.RouteName, " ",
-                           Terms.Rank, " ",
-                           toMilliseconds(Terms.GiveUpAt - Now), " ",
-                           toMilliseconds(Terms.MaxWait), " ",
-                           Terms.CallerService, " ", Terms.Configuration));
+  Request.set(Header, absl::StrCat(
+                          Terms.Service, " ", Key, " ", Terms.RouteName, " ",
+                          Terms.Rank, " ", toMilliseconds(Terms.GiveUpAt - Now),
+                          " ", toMilliseconds(Terms.MaxWait), " ",
+                          Terms.CallerService, " ", Terms.Configuration));
 }
 
 std::optional<TryTerms> takeTerms(HttpRequest &Request, TimePoint Now) {
@@ -73,16 +72,14 @@
                : HttpResponse(http::status::service_unavailable, 11);
   ServerLoad Load = Result.Load.value_or(ServerLoad{0, 0, 0, {}});
 
-  Response.set(Header,
-               absl::StrCat(nameOf(Result.Outcome), " ", nameOf(Result.Reason),
-                            " ", Result.Reached ? 1 : 0, " ",
-                            toMilliseconds(Result.Wait), " ", Load.Running, " ",
-                            Load.Waiting, " ", Load.Slots, " ",
-                            toMilliseconds(Load.Mean), " ",
-                            Result.Configuration, " ",
-                            Result.Owner.empty() ? NoValue : Result.Owner, " ",
-                            Result.OwnersKeys.From, " ",
-                            Result.OwnersKeys.To));
+  Response.set(
+      Header,
+      absl::StrCat(nameOf(Result.Outcome), " ", nameOf(Result.Reason), " ",
+                   Result.Reached ? 1 : 0, " ", toMilliseconds(Result.Wait),
+                   " ", Load.Running, " ", Load.Waiting, " ", Load.Slots, " ",
+                   toMilliseconds(Load.Mean), " ", Result.Configuration, " ",
+                   Result.Owner.empty() ? NoValue : Result.Owner, " ",
+                   Result.OwnersKeys.From, " ", Result.OwnersKeys.To));
   return Response;
 }
 
--- a/mesh/Ingress.cpp
+++ b/mesh/Ingress.cpp
@@ -99,8 +99,7 @@
                  const MeshView &View, const LocalServer &Server, Gate &Local,
                  const RequestDialect &Dialect, IngressEvents &Events)
     : Io(Io), Config(Config), View(View), Server(Server), Local(Local),
-      Dialect(Dialect), Events(Events),
-      Peers(Io, peerLimits(Config)),
+      Dialect(Dialect), Events(Events), Peers(Io, peerLimits(Config)),
       Picker(Config.Region, Config.DataCenter, seedOf(Config.Instance)),
       Budget(budgetOf(Config)), Random(seedOf(Config.Instance + "/targets")) {}
 
@@ -143,8 +142,7 @@
   }
 
   std::string Host = headerOf(Request, "Host");
-  std::string Path =
-      pathOf({Request.target().data(), Request.target().size()});
+  std::string Path = pathOf({Request.target().data(), Request.target().size()});
   Way.Chosen = Way.InForce->findRoute(Host, Path);
   if (!Way.Chosen) {
     LogLine(LogLevel::Info, "route", "refused")
@@ -219,8 +217,7 @@
   }
 
   // An earlier try may have run although the last one did not.
-  bool Hidden =
-      Way.MayHaveRun && Result.Outcome == RequestOutcome::NotRun;
+  bool Hidden = Way.MayHaveRun && Result.Outcome == RequestOutcome::NotRun;
   return Hidden ? tryUnknown(TryReason::Broken) : std::move(Result);
 }
 
@@ -232,9 +229,12 @@
   InstanceId Owner = this->ownerOf(Way.Terms.Service, *Way.Terms.Key);
   if (Owner.empty()) {
     this->Events.ownerWrong();
+
+    // Any owner of other keys knows whose this one is.
+    return this->Picker.pick(this->View, Way.Terms.Service, {}, Now);
   }
-  bool Usable = this->View.findInstance(Owner) &&
-                !this->Picker.isSuspect(Owner, Now);
+  bool Usable =
+      this->View.findInstance(Owner) && !this->Picker.isSuspect(Owner, Now);
   return Usable ? std::optional(Owner) : std::nullopt;
 }
 
@@ -242,7 +242,7 @@
   const MeshView::VersionedKeyMap *Owners = this->View.findKeyMap(Service);
   std::vector<Hint> &Known = this->Hints[Service];
   std::erase_if(Known, [&](const Hint &Told) {
-    return !Owners || Told.MapVersion != Owners->Version;
+    return Told.MapVersion != (Owners ? Owners->Version : 0);
   });
 
   // Whoever owned the key before knows better than an old view.
@@ -257,7 +257,7 @@
 void Ingress::takeHint(const TryResult &Result, const Journey &Way) {
   const MeshView::VersionedKeyMap *Owners =
       this->View.findKeyMap(Way.Terms.Service);
-  bool Useful = Owners && !Result.Owner.empty() && Result.Owner != Way.Last;
+  bool Useful = !Result.Owner.empty() && Result.Owner != Way.Last;
   if (!Useful) {
     this->Events.ownerWrong();
     return;
@@ -268,7 +268,8 @@
     Known.erase(Known.begin());
     this->Events.ownerWrong();
   }
-  Known.push_back({Result.OwnersKeys, Result.Owner, Owners->Version});
+  Known.push_back(
+      {Result.OwnersKeys, Result.Owner, Owners ? Owners->Version : 0});
 }
 
 Duration Ingress::allowedWait(const Journey &Way, TimePoint Now) const {
--- a/mesh/Ingress.h
+++ b/mesh/Ingress.h
@@ -29,8 +29,7 @@
 public:
   Ingress(boost::asio::io_context &Io, const MeshSettings &Config,
           const MeshView &View, const LocalServer &Server, Gate &Local,
-          const RequestDialect &Dialect,
-          IngressEvents &Events);
+          const RequestDialect &Dialect, IngressEvents &Events);
 
   /// Answers a request of a caller on this machine.
   HttpResponse serveCaller(HttpRequest &Request, CallerWatch &Watch,
--- a/mesh/InstancePicker.cpp
+++ b/mesh/InstancePicker.cpp
@@ -95,7 +95,8 @@
   double Crowding = 0.2 * Mean * std::min(Ahead / Slots, 1.0);
 
   double Travel = Row.DataCenter == this->DataCenter ? SameDataCenter
-                  : Near ? SameRegion : OtherRegion + OtherRegionSurcharge;
+                  : Near                             ? SameRegion
+                         : OtherRegion + OtherRegionSurcharge;
   std::uniform_real_distribution<double> Vary(1.0, 1.0 + Spread);
   return (Travel + Wait + Mean + Crowding) * Vary(this->Random);
 }
@@ -118,7 +119,8 @@
 
 void InstancePicker::onUnreachable(const InstanceId &Instance, TimePoint Now) {
   Known &Seen = this->Instances[Instance];
-  auto Pause = FirstSuspicion * (1 << std::min<std::uint32_t>(Seen.Failures, 3));
+  auto Pause =
+      FirstSuspicion * (1 << std::min<std::uint32_t>(Seen.Failures, 3));
   ++Seen.Failures;
   Seen.SuspectUntil = Now + std::min(Pause, LongestSuspicion);
 }
--- a/mesh/KeyKeeper.cpp
+++ b/mesh/KeyKeeper.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr std::array<const char *, 10> KeyEventNames = {
-    "first_layout",  "lease_lost",    "lease_held",        "run_adopted",
+    "first_layout",   "lease_lost",    "lease_held",        "run_adopted",
     "handover_begun", "handover_done", "handover_given_up", "server_lost",
-    "taken_over",    "write_failed"};
+    "taken_over",     "write_failed"};
 
 /// A grant outlasts this many heartbeats, so that three reports in a row may
 /// be late before requests are turned away.
@@ -239,9 +239,9 @@
 
   this->Granted = Answer.Granted;
   this->GrantedUntil = ReceivedAt + Answer.HoldTime;
-  this->HoldEnd = std::max(
-      this->HoldEnd, ReceivedAt + std::chrono::duration_cast<Duration>(
-                                      Answer.HoldTime * SlowestClock));
+  this->HoldEnd =
+      std::max(this->HoldEnd, ReceivedAt + std::chrono::duration_cast<Duration>(
+                                               Answer.HoldTime * SlowestClock));
   return Answer;
 }
 
@@ -270,8 +270,8 @@
   this->tick(Now);
 }
 
-void KeyKeeper::onLeases(const std::optional<StoreRows> &Rows,
-                         TimePoint SentAt, TimePoint Now) {
+void KeyKeeper::onLeases(const std::optional<StoreRows> &Rows, TimePoint SentAt,
+                         TimePoint Now) {
   this->LeasesAsked = false;
   if (!Rows) {
     return;
@@ -300,8 +300,8 @@
 }
 
 void KeyKeeper::tendLease(TimePoint Now) {
-  bool Wanted = this->LeasesWanted || this->Lease.needsRead() ||
-                Now >= this->LeasesDueAt;
+  bool Wanted =
+      this->LeasesWanted || this->Lease.needsRead() || Now >= this->LeasesDueAt;
   if (Wanted && !this->LeasesAsked && Now >= this->NextLeasesAt) {
     this->LeasesAsked = true;
     this->NextLeasesAt = Now + LeaseReadPause;
@@ -324,9 +324,8 @@
   bool Doubtful = this->DoubtfulFrom && Version &&
                   *Version > *this->DoubtfulFrom &&
                   this->View.keysReadAt() < *Version;
-  bool TooOld =
-      Holds && (Doubtful ||
-                this->View.keysReadAt() < this->Lease.unbrokenSince());
+  bool TooOld = Holds && (Doubtful || this->View.keysReadAt() <
+                                          this->Lease.unbrokenSince());
   if (TooOld && Now >= this->KeysAskedAt + KeysReadPause) {
     this->KeysAskedAt = Now;
     this->Actions.readKeys();
@@ -571,8 +570,8 @@
   }
 
   bool Fresh = Now >= this->PromisedUntil;
-  this->Promised = (Fresh ? 0 : this->Promised) +
-                   std::max(GiverLoad - Load, LeastGap) / 2;
+  this->Promised =
+      (Fresh ? 0 : this->Promised) + std::max(GiverLoad - Load, LeastGap) / 2;
   this->PromisedUntil = Now + PromiseTime;
   return {true, Load};
 }
@@ -632,10 +631,11 @@
 void KeyKeeper::dropStaleGifts(TimePoint Now) {
   std::erase_if(this->Gifts, [&](const Gift &Given) {
     const InstanceRow *Row = this->View.findInstance(Given.To.Instance);
-    bool Receives = Row && Row->State == ServerState::Ready &&
-                    Row->Run == Given.To.Run;
-    bool Moved = this->map() && this->map()->Map.find(Given.Keys.From)
-                                        .Holder.Instance != this->Instance;
+    bool Receives =
+        Row && Row->State == ServerState::Ready && Row->Run == Given.To.Run;
+    bool Moved =
+        this->map() && this->map()->Map.find(Given.Keys.From).Holder.Instance !=
+                           this->Instance;
     bool Stale = !Receives || Now - Given.Since > GiftPatience;
     bool GivenUp = (Moved || Stale) && !this->inDoubt() &&
                    this->Writing != MapWrite::Handover;
@@ -701,8 +701,7 @@
   }
 
   if (Commit.Result.Outcome != CommitOutcome::Committed) {
-    this->Actions.decided(KeyEvent::WriteFailed,
-                          nameOf(Commit.Result.Outcome));
+    this->Actions.decided(KeyEvent::WriteFailed, nameOf(Commit.Result.Outcome));
     this->WriteRetryAt = Now + WriteRetryPause;
     this->LeasesWanted = this->LeasesWanted || Kind == MapWrite::Takeover;
     if (Commit.Result.Outcome != CommitOutcome::NotRun) {
--- a/mesh/KeyLoads.cpp
+++ b/mesh/KeyLoads.cpp
@@ -54,9 +54,8 @@
   if (FromStart) {
     for (const auto &[Key, Own] : Loads) {
       if (Taken + Own > Load) {
-        return Key == Span.From
-                   ? std::nullopt
-                   : std::optional(KeySpan{Span.From, Key - 1});
+        return Key == Span.From ? std::nullopt
+                                : std::optional(KeySpan{Span.From, Key - 1});
       }
       Taken += Own;
     }
--- a/mesh/KeyMap.cpp
+++ b/mesh/KeyMap.cpp
@@ -48,11 +48,10 @@
 KeyMap::KeyMap() : Entries({{{0, MaxKey}, {}, 0, ""}}) {}
 
 const OwnedKeys &KeyMap::find(KeyNumber Key) const {
-  auto After = std::upper_bound(
-      this->Entries.begin(), this->Entries.end(), Key,
-      [](KeyNumber Wanted, const OwnedKeys &Entry) {
-        return Wanted < Entry.Keys.From;
-      });
+  auto After = std::upper_bound(this->Entries.begin(), this->Entries.end(), Key,
+                                [](KeyNumber Wanted, const OwnedKeys &Entry) {
+                                  return Wanted < Entry.Keys.From;
+                                });
   return *std::prev(After);
 }
 
--- a/mesh/KeyPlanner.cpp
+++ b/mesh/KeyPlanner.cpp
@@ -34,9 +34,8 @@
   double BestLoad = -1;
   for (const OwnedKeys &Entry : Owned) {
     double Load = Loads.within(Entry.Keys, Now);
-    bool Larger = Load > BestLoad ||
-                  (Load == BestLoad && Best &&
-                   Entry.Keys.size() > Best->Keys.size());
+    bool Larger = Load > BestLoad || (Load == BestLoad && Best &&
+                                      Entry.Keys.size() > Best->Keys.size());
     if (Larger) {
       Best = &Entry;
       BestLoad = Load;
@@ -98,13 +97,12 @@
   std::vector<PlannedGift> Gifts;
   for (KeySpan Rest : Spans) {
     while (true) {
-      auto Least = std::min_element(
-          Needs.begin(), Needs.end(),
-          [](const Need &First, const Need &Second) {
-            return First.Has < Second.Has;
-          });
-      std::int64_t Room = std::max<std::int64_t>(Target - Least->Has,
-                                                 SmallestPart);
+      auto Least = std::min_element(Needs.begin(), Needs.end(),
+                                    [](const Need &First, const Need &Second) {
+                                      return First.Has < Second.Has;
+                                    });
+      std::int64_t Room =
+          std::max<std::int64_t>(Target - Least->Has, SmallestPart);
       bool Whole = Rest.size() <= Room + SmallestPart;
       KeySpan Part = Rest;
       if (!Whole) {
--- a/mesh/LocalServer.cpp
+++ b/mesh/LocalServer.cpp
@@ -83,8 +83,8 @@
   if (this->state() == ServerState::Gone) {
     return false;
   }
-  auto Span = std::chrono::duration_cast<Duration>(this->Config.LeaveTime *
-                                                   LeaveShare);
+  auto Span =
+      std::chrono::duration_cast<Duration>(this->Config.LeaveTime * LeaveShare);
   return !this->LeavingSince || Now < *this->LeavingSince + Span;
 }
 
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -122,10 +122,9 @@
 
 MeshDaemon::MeshDaemon(const MeshSettings &Config, std::string SettingsPath,
                        const MeshAdapters &Adapters)
-    : Config(Config), SettingsPath(std::move(SettingsPath)),
-      Adapters(Adapters), Io(1),
-      Path(Io, Config.Store, Config.Inner.Host,
-           [this] { return this->relayPeers(); }),
+    : Config(Config), SettingsPath(std::move(SettingsPath)), Adapters(Adapters),
+      Io(1), Path(Io, Config.Store, Config.Inner.Host,
+                  [this] { return this->relayPeers(); }),
       Rows(Adapters.MakeStore(Io, Path)),
       Sync(Io, *Rows, View, *Adapters.Configurations), Server(Config, View),
       Offers(Io, Config.Inner.Host),
@@ -138,8 +137,7 @@
             this->Keeper.onServerRefused(BootClock::now());
             this->onServerChanged();
           }),
-      Requests(Io, Config, View, Server, Way, *Adapters.Requests,
-               *this),
+      Requests(Io, Config, View, Server, Way, *Adapters.Requests, *this),
       Desk(Io, View, Server, Keeper, *Adapters.Reports,
            [this] { this->onServerChanged(); }),
       Callers(Io, limitsOf(Config),
@@ -210,8 +208,8 @@
   HttpLimits Limits = limitsOf(this->Config);
   Limits.HeaderBytes = InForce->Limits.HeaderBytes;
   Limits.BodyBytes = InForce->Limits.BodyBytes;
-  Limits.IdleTimeout = std::chrono::ceil<std::chrono::milliseconds>(
-      InForce->Limits.IdleTimeout);
+  Limits.IdleTimeout =
+      std::chrono::ceil<std::chrono::milliseconds>(InForce->Limits.IdleTimeout);
   this->Callers.setLimits(Limits);
 
   // Daemons add one header of their own and keep connections longer.
@@ -256,8 +254,7 @@
 }
 
 HttpResponse MeshDaemon::serveReadiness(const HttpRequest &Request) const {
-  std::string Path =
-      pathOf({Request.target().data(), Request.target().size()});
+  std::string Path = pathOf({Request.target().data(), Request.target().size()});
   if (Path != this->Adapters.ReadinessPath) {
     return HttpResponse(http::status::not_found, 11);
   }
@@ -385,10 +382,10 @@
 
 void MeshDaemon::readLeases() {
   TimePoint SentAt = BootClock::now();
-  this->Rows->readTable(
-      tables::Leases, [this, SentAt](const std::optional<StoreRows> &Read) {
-        this->Keeper.onLeases(Read, SentAt, BootClock::now());
-      });
+  this->Rows->readTable(tables::Leases,
+                        [this, SentAt](const std::optional<StoreRows> &Read) {
+                          this->Keeper.onLeases(Read, SentAt, BootClock::now());
+                        });
 }
 
 void MeshDaemon::readKeys() { this->Sync.readKeys(); }
--- a/mesh/MeshView.cpp
+++ b/mesh/MeshView.cpp
@@ -11,9 +11,8 @@
 /// The name of row \p Key when it is in \p Table; nothing otherwise.
 std::optional<std::string> nameIn(const std::string &Key, const char *Table) {
   std::string Prefix = rowKey(Table, "");
-  return Key.starts_with(Prefix)
-             ? std::optional(Key.substr(Prefix.size()))
-             : std::nullopt;
+  return Key.starts_with(Prefix) ? std::optional(Key.substr(Prefix.size()))
+                                 : std::nullopt;
 }
 
 void logUnreadable(const TableRow &Row) {
@@ -40,9 +39,8 @@
 
   LogLine(LogLevel::Info, "view", "configuration_in_force")
       .with("version", static_cast<long long>(Fresh->Version))
-      .with("before", this->InForce
-                          ? static_cast<long long>(this->InForce->Version)
-                          : 0)
+      .with("before",
+            this->InForce ? static_cast<long long>(this->InForce->Version) : 0)
       .with("routes", static_cast<long long>(Fresh->Routes.size()));
   this->InForce = std::move(Fresh);
   this->notify();
--- a/mesh/OfferCalls.cpp
+++ b/mesh/OfferCalls.cpp
@@ -28,8 +28,8 @@
 
 std::optional<double> numberOf(const std::string &Text) {
   double Number = 0;
-  bool Sound = absl::SimpleAtod(absl::string_view(Text.data(), Text.size()),
-                                &Number);
+  bool Sound =
+      absl::SimpleAtod(absl::string_view(Text.data(), Text.size()), &Number);
   return Sound ? std::optional(Number) : std::nullopt;
 }
 
--- a/mesh/OwnLease.cpp
+++ b/mesh/OwnLease.cpp
@@ -43,8 +43,7 @@
   auto StoreTime = Clock.earliest(Now);
   bool Due = this->VersionKnown && !this->InFlight && StoreTime &&
              Now >= this->RetryAt &&
-             (this->Hurry ||
-              this->EndsAt - Now < this->Bounds.RenewBelow);
+             (this->Hurry || this->EndsAt - Now < this->Bounds.RenewBelow);
   if (!Due) {
     return std::nullopt;
   }
@@ -99,8 +98,8 @@
     return;
   }
 
-  auto Found = Row && Row->Value ? KeyLease::fromText(*Row->Value)
-                                 : std::nullopt;
+  auto Found =
+      Row && Row->Value ? KeyLease::fromText(*Row->Value) : std::nullopt;
   this->Version = Row ? Row->Version : 0;
   this->VersionKnown = true;
 
--- a/mesh/StoreClock.cpp
+++ b/mesh/StoreClock.cpp
@@ -27,8 +27,7 @@
          scaled(Now - this->Newest->ReceivedAt, 1.0 - Drift);
 }
 
-std::optional<TimePoint>
-StoreClock::certainlyBefore(Duration StoreTime) const {
+std::optional<TimePoint> StoreClock::certainlyBefore(Duration StoreTime) const {
   if (!this->Newest) {
     return std::nullopt;
   }
--- a/mesh/StorePath.cpp
+++ b/mesh/StorePath.cpp
@@ -102,8 +102,7 @@
   ExchangeResult Result = this->StoreClient.exchange(
       this->Store, Request,
       {.Deadline = BootClock::now() + Timeout, .Watch = &Watch}, Yield);
-  bool Abandoned =
-      changesNothing(Request) && this->Reading.erase(&Watch) == 0;
+  bool Abandoned = changesNothing(Request) && this->Reading.erase(&Watch) == 0;
   if (Abandoned && !isServed(Result)) {
     return Result;
   }
@@ -129,8 +128,8 @@
   ExchangeResult Result = this->direct(Request, Timeout, Yield);
 
   // What may have been done is not sent a second time.
-  bool Doubtful = Result.Outcome == ExchangeOutcome::Ambiguous &&
-                  !changesNothing(Request);
+  bool Doubtful =
+      Result.Outcome == ExchangeOutcome::Ambiguous && !changesNothing(Request);
   if (isServed(Result) || Doubtful) {
     return Result;
   }
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -72,24 +72,23 @@
     return;
   }
 
-  this->Rows.readTable(Followed.Table,
-                       [this, &Followed](const std::optional<StoreRows> &Read) {
-                         if (!Read) {
-                           this->advanceAfter(Followed, RetryPause);
-                           return;
-                         }
-                         this->take(Followed, *Read);
-                         Followed.Known = true;
-                         Followed.Version = Read->Version;
-                         if (&Followed == &this->Keys && !this->FollowsKeys) {
-                           Followed.Known = false;
-                           bool Laid = !Read->Rows.empty();
-                           this->advanceAfter(Followed, Laid ? KeysInterval
-                                                             : NoKeysInterval);
-                           return;
-                         }
-                         this->advance(Followed);
-                       });
+  this->Rows.readTable(
+      Followed.Table, [this, &Followed](const std::optional<StoreRows> &Read) {
+        if (!Read) {
+          this->advanceAfter(Followed, RetryPause);
+          return;
+        }
+        this->take(Followed, *Read);
+        Followed.Known = true;
+        Followed.Version = Read->Version;
+        if (&Followed == &this->Keys && !this->FollowsKeys) {
+          Followed.Known = false;
+          bool Laid = !Read->Rows.empty();
+          this->advanceAfter(Followed, Laid ? KeysInterval : NoKeysInterval);
+          return;
+        }
+        this->advance(Followed);
+      });
 }
 
 void StoreSync::advanceAfter(Feed &Followed, Duration Pause) {
--- a/mesh/Try.cpp
+++ b/mesh/Try.cpp
@@ -8,10 +8,9 @@
 namespace {
 
 constexpr std::array<const char *, 13> TryReasonNames = {
-    "none",        "no-instance",   "not-owner", "key-moving",
-    "no-server",   "leaving",       "refused",   "busy",
-    "unreachable", "broken",        "wrong-answer", "time-over",
-    "caller-gone"};
+    "none",         "no-instance", "not-owner",  "key-moving",  "no-server",
+    "leaving",      "refused",     "busy",       "unreachable", "broken",
+    "wrong-answer", "time-over",   "caller-gone"};
 
 constexpr std::array<const char *, 3> VerdictNames = {"ran", "not-run",
                                                       "wrong-server"};
--- a/net/BlockingClient.cpp
+++ b/net/BlockingClient.cpp
@@ -8,7 +8,9 @@
                                         HttpRequest Request,
                                         std::chrono::milliseconds Timeout) {
   ExchangeResult Result;
-  Request.set(http::field::host, Server.toText());
+  if (Request.find(http::field::host) == Request.end()) {
+    Request.set(http::field::host, Server.toText());
+  }
 
   boost::asio::spawn(
       this->Io,
--- /dev/null
+++ b/stand_ins/PlatformServer.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "core/Clock.h"
+#include "net/HttpClient.h"
+#include "net/HttpServer.h"
+
+#include <json/value.h>
+#include <mutex>
+#include <set>
+
+namespace hemlockspar {
+
+/// What a stand-in of a backend server does wrong, or how it behaves.
+struct PlatformServerFaults {
+  /// Runs requests and closes the connection in place of an answer.
+  bool LoseAnswers = false;
+
+  /// Refuses requests as if it were full.
+  bool Refuse = false;
+
+  /// Answers with the id of another request.
+  bool WrongIds = false;
+
+  /// Sends nothing to the daemon.
+  bool Mute = false;
+
+  std::chrono::milliseconds Work{2};
+};
+
+/// A stand-in of a backend server on the operators' platform: reports to the
+/// daemon beside it, holds keys by its answers, runs requests. Runs on the
+/// thread of its io_context; the other calls may come from any.
+class PlatformServer {
+public:
+  struct Terms {
+    std::string Id;
+    std::string Service;
+    std::string DataCenter;
+    Address At;
+
+    /// Where it reports.
+    Address Daemon;
+    std::chrono::milliseconds Heartbeat{300};
+    std::uint32_t Slots = 6;
+  };
+
+  PlatformServer(boost::asio::io_context &Io, Terms Chosen);
+
+  absl::Status start();
+  void setFaults(const PlatformServerFaults &Fresh);
+
+  /// From now on it says that it stops.
+  void leave();
+
+  /// Whether it holds \p Key now.
+  bool holds(std::uint32_t Key);
+
+  /// Keys that it holds now.
+  std::uint32_t heldCount();
+
+  /// Ids of the requests that it ran, in order.
+  std::vector<std::string> runs();
+
+  /// Headers of the newest request that it ran.
+  std::map<std::string, std::string> newestHeaders();
+
+private:
+  struct Hold {
+    std::uint32_t From = 0;
+    std::uint32_t To = 0;
+    std::uint64_t Token = 0;
+    TimePoint Until;
+  };
+
+  HttpResponse serve(HttpRequest &Request,
+                     const boost::asio::yield_context &Yield);
+  HttpResponse refuse(http::status Status, const std::string &RequestId) const;
+  void reportLoop(const boost::asio::yield_context &Yield);
+  bool report(const boost::asio::yield_context &Yield);
+  Json::Value makeReport();
+  bool takeAnswer(const Json::Value &Answer, TimePoint SentAt);
+  bool holdsLocked(std::uint32_t Key) const;
+
+  boost::asio::io_context &Io;
+  Terms Chosen;
+  HttpServer Server;
+  HttpClient Client;
+  std::mutex Guard;
+  PlatformServerFaults Faults;
+  bool Leaving = false;
+  std::int64_t Born;
+  std::uint64_t Sequence = 0;
+  std::vector<Hold> Holds;
+  Json::Value Released{Json::arrayValue};
+  std::uint32_t Running = 0;
+  std::vector<std::string> Runs;
+  std::map<std::string, std::string> Newest;
+};
+
+} // namespace hemlockspar
--- a/tests/mesh/InstancePickerTest.cpp
+++ b/tests/mesh/InstancePickerTest.cpp
@@ -28,12 +28,12 @@
     Row.Slots = 6;
     Row.State = ServerState::Ready;
     ++this->Version;
-    this->View.apply({tables::Instances,
-                      0,
-                      false,
-                      {{MeshView::instanceKey(Name), this->Version,
-                        Row.toText()}},
-                      std::nullopt});
+    this->View.apply(
+        {tables::Instances,
+         0,
+         false,
+         {{MeshView::instanceKey(Name), this->Version, Row.toText()}},
+         std::nullopt});
   }
 
   void load(const std::string &Name, std::uint32_t Waiting) {
--- a/tests/mesh/KeyKeeperPropertyTest.cpp
+++ b/tests/mesh/KeyKeeperPropertyTest.cpp
@@ -22,11 +22,10 @@
 template <> struct Arbitrary<KeyFault> {
   static Gen<KeyFault> arbitrary() {
     return gen::build<KeyFault>(
-        gen::set(&KeyFault::Kind,
-                 gen::map(gen::inRange(0, KeyFaultKindCount),
-                          [](int Kind) {
-                            return static_cast<KeyFaultKind>(Kind);
-                          })),
+        gen::set(
+            &KeyFault::Kind,
+            gen::map(gen::inRange(0, KeyFaultKindCount),
+                     [](int Kind) { return static_cast<KeyFaultKind>(Kind); })),
         gen::set(&KeyFault::Who, gen::inRange(0, KeyWorld::MostMembers)),
         gen::set(&KeyFault::At, gen::map(gen::inRange(0, 30000),
                                          [](int Span) -> Duration {
--- a/tests/mesh/KeyMapTest.cpp
+++ b/tests/mesh/KeyMapTest.cpp
@@ -76,7 +76,10 @@
 
 Test(KeyMap, RefusesTextWithHolesAndOverlaps) {
   const char *Wrong[] = {
-      "", "[]", "{}", R"({"token":1,"keys":[]})",
+      "",
+      "[]",
+      "{}",
+      R"({"token":1,"keys":[]})",
       R"({"token":1,"keys":[[0,5,"a","b",1,1,""]]})",
       R"({"token":1,"keys":[[0,5,"a","b",1,1,""],[7,65535,"a","b",1,1,""]]})",
       R"({"token":1,"keys":[[0,9,"a","b",1,1,""],[7,65535,"a","b",1,1,""]]})",
--- a/tests/mesh/KeyPlannerTest.cpp
+++ b/tests/mesh/KeyPlannerTest.cpp
@@ -79,8 +79,7 @@
     }
   }
 
-  auto Part =
-      choosePart(Map, Members[0].Holder, 1.2, 0.2, false, Loads, Now);
+  auto Part = choosePart(Map, Members[0].Holder, 1.2, 0.2, false, Loads, Now);
   cr_assert(Part.has_value());
   double Moved = Loads.within(*Part, Now) / Loads.total(Now);
   cr_assert(Moved > 0.25 && Moved < 0.45, "%f", Moved);
--- a/tests/mesh/KeyWorld.cpp
+++ b/tests/mesh/KeyWorld.cpp
@@ -115,7 +115,7 @@
     Row.Service = "menus";
     Row.Run = this->Server.Run;
     Row.Slots = 6;
-    Row.State = !this->Server.Up      ? ServerState::Gone
+    Row.State = !this->Server.Up       ? ServerState::Gone
                 : this->Server.Leaving ? ServerState::Leaving
                                        : ServerState::Ready;
     return Row;
@@ -201,9 +201,9 @@
   Member.Newest = 0;
   Member.Server.Up = true;
   bool SameName = this->Random() % 2 == 0;
-  Member.Server.Run = {
-      SameName ? "s" + Member.Name : "s" + std::to_string(this->LastStart),
-      ++this->LastStart};
+  Member.Server.Run = {SameName ? "s" + Member.Name
+                                : "s" + std::to_string(this->LastStart),
+                       ++this->LastStart};
   Member.Server.NextReport = this->Now + this->randomSpan(0, 300);
 }
 
@@ -354,8 +354,7 @@
       continue;
     }
     TableTransaction Write;
-    Write.Writes.push_back(
-        {MeshView::instanceKey(Member.Name), Row.toText()});
+    Write.Writes.push_back({MeshView::instanceKey(Member.Name), Row.toText()});
     this->commit(Member, Write, [&Member, Row](const StoreCommit &Commit) {
       if (Commit.Result.Outcome == CommitOutcome::Committed) {
         Member.Written = Row;
@@ -391,8 +390,7 @@
   this->at(Delay, [this, &Member, Report, SentAt] {
     this->deliver(Member, [this, &Member, Report, SentAt] {
       // As LocalServer: only what is newer than all before it counts.
-      if (Report.Run != Member.Server.Run ||
-          Report.Sequence <= Member.Newest) {
+      if (Report.Run != Member.Server.Run || Report.Sequence <= Member.Newest) {
         return;
       }
       Member.Newest = Report.Sequence;
@@ -415,8 +413,8 @@
     return;
   }
   Server.Released.clear();
-  TimePoint Until =
-      SentAt + std::chrono::duration_cast<Duration>(Grants.HoldTime * SlowClock);
+  TimePoint Until = SentAt + std::chrono::duration_cast<Duration>(
+                                 Grants.HoldTime * SlowClock);
 
   std::vector<SimServer::Hold> Next;
   for (const GrantedKeys &Given : Grants.Granted) {
@@ -431,11 +429,11 @@
         continue;
       }
       if (Given.Keys.From > From) {
-        Next.push_back({{From, Given.Keys.From - 1},
-                        Held.Token,
-                        Held.Until,
-                        Held.LetGoAt.value_or(this->Now +
-                                              this->randomSpan(0, 600))});
+        Next.push_back(
+            {{From, Given.Keys.From - 1},
+             Held.Token,
+             Held.Until,
+             Held.LetGoAt.value_or(this->Now + this->randomSpan(0, 600))});
       }
       From = std::max(From, Given.Keys.To + 1);
       if (From > Held.Keys.To) {
@@ -443,11 +441,11 @@
       }
     }
     if (From <= Held.Keys.To) {
-      Next.push_back({{From, Held.Keys.To},
-                      Held.Token,
-                      Held.Until,
-                      Held.LetGoAt.value_or(this->Now +
-                                            this->randomSpan(0, 600))});
+      Next.push_back(
+          {{From, Held.Keys.To},
+           Held.Token,
+           Held.Until,
+           Held.LetGoAt.value_or(this->Now + this->randomSpan(0, 600))});
       Server.NextReport =
           std::min<TimePoint>(Server.NextReport, this->Now + milliseconds(100));
     }
@@ -482,12 +480,10 @@
       for (const SimServer::Hold &Here : One.Holds) {
         for (const SimServer::Hold &There : Two.Holds) {
           if (Here.Keys.overlaps(There.Keys)) {
-            this->Complaint = "two servers hold " +
-                              std::to_string(Here.Keys.From) + ".. and " +
-                              std::to_string(There.Keys.From) + ".. at " +
-                              std::to_string(toMilliseconds(this->Now -
-                                                            this->Begin)) +
-                              " ms";
+            this->Complaint =
+                "two servers hold " + std::to_string(Here.Keys.From) +
+                ".. and " + std::to_string(There.Keys.From) + ".. at " +
+                std::to_string(toMilliseconds(this->Now - this->Begin)) + " ms";
           }
         }
       }
--- a/tests/mesh/OwnLeaseTest.cpp
+++ b/tests/mesh/OwnLeaseTest.cpp
@@ -22,8 +22,8 @@
   void create() {
     this->Lease.onRow(nullptr, this->Clock);
     cr_assert(this->Lease.takeDue(this->Clock, 0, this->Now));
-    this->Lease.onCommit(this->answer(CommitOutcome::Committed, 5),
-                         this->Clock, this->Now);
+    this->Lease.onCommit(this->answer(CommitOutcome::Committed, 5), this->Clock,
+                         this->Now);
   }
 
   TimePoint Now{seconds(10)};
--- /dev/null
+++ b/tests/mesh/PlatformMesh.cpp
@@ -0,0 +1,258 @@
+#include "tests/mesh/PlatformMesh.h"
+
+#include <absl/strings/str_cat.h>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+
+extern char **environ;
+
+namespace hemlockspar {
+
+namespace {
+
+constexpr std::uint16_t CallerPort = 8080;
+constexpr std::uint16_t ReadyPort = 8081;
+constexpr std::uint16_t ReportPort = 8082;
+constexpr std::uint16_t InnerPort = 8083;
+constexpr std::uint16_t ServerPort = 8090;
+constexpr std::uint16_t StorePort = 7000;
+constexpr auto CallTimeout = std::chrono::seconds(10);
+constexpr auto PollInterval = std::chrono::milliseconds(20);
+
+std::string routeText(const std::string &Name, const std::string &Service,
+                      const std::string &Kind) {
+  return absl::StrCat(
+      R"({"resource_kind":"routes","metadata":{"name":"r-)", Name,
+      R"("},"spec":{"hostname":"spa.example","prefix":"/)", Name,
+      R"(/","route_kind":")", Kind,
+      R"(","timeout":"8000ms","target_latency":"800ms","priority":1,)",
+      R"("service":")", Service, R"(","max_attempts":3}})");
+}
+
+std::string serviceText(const std::string &Name, bool Keyed) {
+  return absl::StrCat(R"({"resource_kind":"services","metadata":{"name":")",
+                      Name, R"("},"spec":{"max_connections":100,"sharded":)",
+                      Keyed ? "true" : "false", R"(,"warmup":"2s"}})");
+}
+
+} // namespace
+
+PlatformMesh::PlatformMesh(int Number, std::vector<std::string> Chosen)
+    : Number(Number), Services(std::move(Chosen)),
+      KeepRunning(boost::asio::make_work_guard(Io)),
+      Rows(std::make_unique<PlatformStore>(Io)) {
+  std::string Pattern =
+      (std::filesystem::temp_directory_path() / "platform-XXXXXX").string();
+  this->Directory = mkdtemp(Pattern.data());
+}
+
+PlatformMesh::~PlatformMesh() {
+  for (const auto &[Index, Pid] : this->Daemons) {
+    ::kill(Pid, SIGKILL);
+    waitpid(Pid, nullptr, 0);
+  }
+  this->Io.stop();
+  if (this->Runner.joinable()) {
+    this->Runner.join();
+  }
+  if (!std::getenv("MESH_KEEP")) {
+    std::filesystem::remove_all(this->Directory);
+  }
+}
+
+std::string PlatformMesh::hostOf(int Index) const {
+  return absl::StrCat("127.", this->Number, ".1.", Index + 1);
+}
+
+Address PlatformMesh::storeOf(int Index) const {
+  return {absl::StrCat("127.", this->Number, ".0.", Index + 1), StorePort};
+}
+
+std::string PlatformMesh::path(const std::string &File) const {
+  return this->Directory + "/" + File;
+}
+
+std::string PlatformMesh::logOf(int Index) const {
+  std::ifstream File(this->path(absl::StrCat("d", Index, ".log")));
+  std::stringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+void PlatformMesh::declare(std::uint64_t Version, const std::string &Extra) {
+  std::string Routes = routeText("menus", "menus", "idempotent") + "," +
+                       routeText("bookings", "bookings", "non_idempotent") +
+                       "," + routeText("lists", "bookings", "idempotent");
+  if (!Extra.empty()) {
+    Routes += "," + routeText(Extra, "bookings", "idempotent");
+  }
+  this->Rows->put(
+      "op", "config",
+      absl::StrCat(
+          R"({"version":"r)", Version, R"(","resources":[)", Routes, ",",
+          serviceText("menus", true), ",", serviceText("bookings", false),
+          R"(,{"resource_kind":"limits","metadata":{},"spec":{)",
+          R"("max_header_bytes":16384,"max_body_bytes":1000000,)",
+          R"("header_timeout":"3000ms","idle_timeout":"15000ms"}}]})"));
+}
+
+void PlatformMesh::writeSettings(int Index) const {
+  std::string Host = this->hostOf(Index);
+  std::ofstream File(this->path(absl::StrCat("d", Index, ".yaml")));
+  File << "instance: d" << Index << "\nregion: r" << Index % 2
+       << "\ndata_center: r" << Index % 2 << "-a\nstop_time: 6s\n"
+       << "listen:\n  callers: " << Host << ":" << CallerPort
+       << "\n  readiness: " << Host << ":" << ReadyPort
+       << "\n  reports: " << Host << ":" << ReportPort << "\n  inner: " << Host
+       << ":" << InnerPort
+       << "\nstore:\n  address: " << this->storeOf(Index).toText()
+       << "\nserver:\n  address: " << Host << ":" << ServerPort
+       << "\n  service: " << this->Services[static_cast<std::size_t>(Index)]
+       << "\n  heartbeat: 300ms\nrepeats:\n  allowance: 1000\n";
+}
+
+void PlatformMesh::startDaemon(int Index) {
+  this->writeSettings(Index);
+  const char *Root = std::getenv("HEMLOCKSPAR_BIN");
+  std::string Program =
+      std::string(Root ? Root : "build") + "/daemon/hemlockspard";
+  std::string Settings =
+      "--settings=" + this->path(absl::StrCat("d", Index, ".yaml"));
+  std::vector<char *> Words = {Program.data(), Settings.data(), nullptr};
+
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  posix_spawn_file_actions_addopen(
+      &Actions, 1, this->path(absl::StrCat("d", Index, ".log")).c_str(),
+      O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&Actions, 1, 2);
+
+  // The stand-ins' sockets must not live on in a daemon.
+  posix_spawn_file_actions_addclosefrom_np(&Actions, 3);
+  pid_t Pid = 0;
+  posix_spawn(&Pid, Program.c_str(), &Actions, nullptr, Words.data(), environ);
+  posix_spawn_file_actions_destroy(&Actions);
+  this->Daemons[Index] = Pid;
+}
+
+void PlatformMesh::signalDaemon(int Index, int Signal) {
+  ::kill(this->Daemons.at(Index), Signal);
+  if (Signal == SIGKILL) {
+    waitpid(this->Daemons.at(Index), nullptr, 0);
+    this->Daemons.erase(Index);
+  }
+}
+
+int PlatformMesh::waitForExit(int Index) {
+  int Status = 0;
+  waitpid(this->Daemons.at(Index), &Status, 0);
+  this->Daemons.erase(Index);
+  return WIFEXITED(Status) ? WEXITSTATUS(Status) : -1;
+}
+
+bool PlatformMesh::start() {
+  this->declare(1);
+
+  for (int Index = 0; Index < int(this->Services.size()); ++Index) {
+    std::string Host = this->hostOf(Index);
+    if (!this->Rows->listen(absl::StrCat("d", Index), this->storeOf(Index))
+             .ok()) {
+      return false;
+    }
+    PlatformServer::Terms Terms;
+    Terms.Id = absl::StrCat("s", Index);
+    Terms.Service = this->Services[static_cast<std::size_t>(Index)];
+    Terms.DataCenter = absl::StrCat("r", Index % 2, "-a");
+    Terms.At = {Host, ServerPort};
+    Terms.Daemon = {Host, ReportPort};
+    this->Servers.push_back(std::make_unique<PlatformServer>(this->Io, Terms));
+    if (!this->Servers.back()->start().ok()) {
+      return false;
+    }
+    this->startDaemon(Index);
+  }
+  this->Runner = std::thread([this] { this->Io.run(); });
+
+  return this->waitUntil([this] {
+    for (int Index = 0; Index < int(this->Services.size()); ++Index) {
+      if (!this->isReady(Index)) {
+        return false;
+      }
+    }
+    return this->allHeld() &&
+           this->send(0, "/lists/warm").Response.result() == http::status::ok;
+  });
+}
+
+ExchangeResult
+PlatformMesh::send(int Index, const std::string &Path,
+                   const std::map<std::string, std::string> &Headers,
+                   http::verb Method) {
+  HttpRequest Request(Method, Path, 11);
+  Request.set(http::field::host, "spa.example");
+  Request.set("Request-Id", absl::StrCat("q", ++this->LastRequest));
+  Request.set("Deadline-Ms", "8000");
+  for (const auto &[Name, Value] : Headers) {
+    Request.set(Name, Value);
+  }
+  return this->Client.exchange({this->hostOf(Index), CallerPort}, Request,
+                               CallTimeout);
+}
+
+ExchangeResult PlatformMesh::sendKey(int Index, std::uint32_t Key) {
+  return this->send(Index, absl::StrCat("/menus/", Key),
+                    {{"Shard-Key", std::to_string(Key)}});
+}
+
+ExchangeResult PlatformMesh::report(int Index, const std::string &Id,
+                                    const std::string &Body) {
+  HttpRequest Request(http::verb::put, "/api/instances/" + Id, 11);
+  Request.set(http::field::host, "daemon");
+  Request.body() = Body;
+  return this->Client.exchange({this->hostOf(Index), ReportPort}, Request,
+                               CallTimeout);
+}
+
+bool PlatformMesh::isReady(int Index) {
+  ExchangeResult Asked = this->Client.get({this->hostOf(Index), ReadyPort},
+                                          "/api/readyz", CallTimeout);
+  return Asked.Outcome == ExchangeOutcome::Answered &&
+         Asked.Response.result() == http::status::ok;
+}
+
+bool PlatformMesh::allHeld() {
+  std::uint32_t Count = 0;
+  for (auto &Server : this->Servers) {
+    Count += Server->heldCount();
+  }
+  return Count == 65536;
+}
+
+int PlatformMesh::holderOf(std::uint32_t Key) {
+  for (std::size_t Index = 0; Index < this->Servers.size(); ++Index) {
+    if (this->Servers[Index]->holds(Key)) {
+      return int(Index);
+    }
+  }
+  return -1;
+}
+
+bool PlatformMesh::waitUntil(const std::function<bool()> &Condition,
+                             std::chrono::seconds Limit) {
+  auto End = std::chrono::steady_clock::now() + Limit;
+  while (!Condition()) {
+    if (std::chrono::steady_clock::now() >= End) {
+      return false;
+    }
+    std::this_thread::sleep_for(PollInterval);
+  }
+  return true;
+}
+
+} // namespace hemlockspar
--- /dev/null
+++ b/tests/mesh/PlatformMesh.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "net/BlockingClient.h"
+#include "stand_ins/PlatformServer.h"
+#include "stand_ins/PlatformStore.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <memory>
+#include <sys/types.h>
+#include <thread>
+
+namespace hemlockspar {
+
+/// Daemons as processes of their own, on loopback addresses that no other test
+/// uses, with a stand-in of the platform's store and a stand-in of a backend
+/// server beside each. Ends all of them when destroyed.
+class PlatformMesh {
+public:
+  /// \p Number, different in each test, chooses the addresses 127.Number.*.
+  /// \p Services names the service beside each daemon.
+  PlatformMesh(int Number, std::vector<std::string> Services);
+  ~PlatformMesh();
+
+  PlatformMesh(const PlatformMesh &) = delete;
+  PlatformMesh &operator=(const PlatformMesh &) = delete;
+
+  /// Declares configuration 1, starts everything, and waits until all daemons
+  /// are ready and all keys are held. False when that does not come about.
+  bool start();
+
+  /// Declares the routes of configuration \p Version: "/menus/" to the service
+  /// menus, whose keys are owned, "/bookings/" to bookings, once only, and
+  /// \p Extra to bookings.
+  void declare(std::uint64_t Version, const std::string &Extra = "");
+
+  void startDaemon(int Index);
+  void signalDaemon(int Index, int Signal);
+
+  /// Waits for the process to end; its exit code, or -1 for a signal.
+  int waitForExit(int Index);
+
+  /// Sends a request of a caller beside daemon \p Index.
+  ExchangeResult send(int Index, const std::string &Path,
+                      const std::map<std::string, std::string> &Headers = {},
+                      http::verb Method = http::verb::get);
+
+  /// As send, for a key of menus; a new request id each time.
+  ExchangeResult sendKey(int Index, std::uint32_t Key);
+
+  /// Sends a report to daemon \p Index as somebody else might.
+  ExchangeResult report(int Index, const std::string &Id,
+                        const std::string &Body);
+
+  bool isReady(int Index);
+  bool allHeld();
+
+  /// The index of the backend server that holds \p Key, or -1.
+  int holderOf(std::uint32_t Key);
+
+  bool waitUntil(const std::function<bool()> &Condition,
+                 std::chrono::seconds Limit = std::chrono::seconds(40));
+
+  PlatformStore &store() { return *this->Rows; }
+  PlatformServer &server(int Index) {
+    return *this->Servers[static_cast<std::size_t>(Index)];
+  }
+  std::string hostOf(int Index) const;
+  std::string logOf(int Index) const;
+
+private:
+  Address storeOf(int Index) const;
+  void writeSettings(int Index) const;
+  std::string path(const std::string &File) const;
+
+  int Number;
+  std::vector<std::string> Services;
+  std::string Directory;
+  boost::asio::io_context Io;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      KeepRunning;
+  std::unique_ptr<PlatformStore> Rows;
+  std::vector<std::unique_ptr<PlatformServer>> Servers;
+  std::thread Runner;
+  std::map<int, pid_t> Daemons;
+  BlockingClient Client;
+  int LastRequest = 0;
+};
+
+} // namespace hemlockspar
--- /dev/null
+++ b/tests/mesh/PlatformMeshTest.cpp
@@ -0,0 +1,276 @@
+#include "tests/mesh/PlatformMesh.h"
+
+#include <criterion/criterion.h>
+#include <csignal>
+
+using namespace hemlockspar;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::vector<std::string> FourDaemons = {"menus", "menus", "bookings",
+                                              "bookings"};
+
+bool isServed(const ExchangeResult &Result) {
+  return Result.Outcome == ExchangeOutcome::Answered &&
+         Result.Response.result() == http::status::ok;
+}
+
+unsigned statusOf(const ExchangeResult &Result) {
+  return Result.Outcome == ExchangeOutcome::Answered
+             ? Result.Response.result_int()
+             : 0;
+}
+
+} // namespace
+
+/// The whole path: keys go to their holders and the rest to any server, with
+/// the headers that servers expect and answers as they made them.
+Test(PlatformMesh, ServesFromEveryDaemon) {
+  PlatformMesh Mesh(41, FourDaemons);
+  cr_assert(Mesh.start());
+
+  for (int Index = 0; Index < 4; ++Index) {
+    for (std::uint32_t Key : {0U, 20000U, 40000U, 65535U}) {
+      ExchangeResult Result = Mesh.sendKey(Index, Key);
+      cr_assert(isServed(Result), "status %u", statusOf(Result));
+      cr_assert(headerOf(Result.Response, "Server-Stamp") != "");
+      cr_assert(Result.Response.find("Hs-Hop") == Result.Response.end());
+      int Holder = Mesh.holderOf(Key);
+      cr_assert(
+          Result.Response.body().starts_with("s" + std::to_string(Holder)));
+    }
+    cr_assert(isServed(Mesh.send(Index, "/bookings/1", {}, http::verb::post)));
+  }
+  cr_assert_eq(statusOf(Mesh.send(0, "/nowhere/1")), 404);
+
+  Mesh.send(2, "/menus/7",
+            {{"Shard-Key", "7"},
+             {"Caller-Service", "forged"},
+             {"Hs-Hop", "bookings - r 0 9 9 x 0"}});
+  auto Headers = Mesh.server(Mesh.holderOf(7)).newestHeaders();
+  cr_assert(Headers["Caller-Service"] == "bookings");
+  cr_assert(Headers["Expect-Instance"] ==
+            "s" + std::to_string(Mesh.holderOf(7)));
+  int Left = std::stoi(Headers["Deadline-Ms"]);
+  cr_assert(Left > 0 && Left <= 8000);
+}
+
+/// A configuration comes into force everywhere, an older or unreadable one
+/// changes nothing.
+Test(PlatformMesh, ConfigurationsComeIntoForce) {
+  PlatformMesh Mesh(42, FourDaemons);
+  cr_assert(Mesh.start());
+  cr_assert_eq(statusOf(Mesh.send(3, "/extra/1")), 404);
+
+  Mesh.declare(5, "extra");
+  cr_assert(Mesh.waitUntil([&] {
+    bool All = true;
+    for (int Index = 0; Index < 4; ++Index) {
+      All = All && isServed(Mesh.send(Index, "/extra/1"));
+    }
+    return All;
+  }));
+
+  for (const char *Text :
+       {"{", "[]", R"({"version":"r9"})", R"({"version":9,"resources":[]})"}) {
+    Mesh.store().put("op", "config", Text);
+  }
+  Mesh.declare(4);
+  Mesh.declare(6, "extra");
+  Mesh.store().dropHistory();
+  Mesh.declare(8, "other");
+  cr_assert(Mesh.waitUntil([&] { return isServed(Mesh.send(1, "/other/1")); }));
+  cr_assert_eq(statusOf(Mesh.send(1, "/extra/1")), 404);
+}
+
+/// While the store serves nobody, owners go on serving their keys.
+Test(PlatformMesh, KeysAreServedWithoutTheStore) {
+  PlatformMesh Mesh(43, FourDaemons);
+  cr_assert(Mesh.start());
+  PlatformStoreFaults Down;
+  Down.Refused = {"*"};
+  Mesh.store().setFaults(Down);
+  for (int Round = 0; Round < 30; ++Round) {
+    cr_assert(isServed(Mesh.sendKey(Round % 4, 2000U * Round)));
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+
+  Mesh.store().setFaults({});
+  Mesh.declare(3, "extra");
+  cr_assert(Mesh.waitUntil([&] { return isServed(Mesh.send(0, "/extra/1")); }));
+}
+
+/// A daemon that the store does not answer gets configurations and keeps its
+/// lease through the others.
+Test(PlatformMesh, OneDaemonWithoutTheStore) {
+  PlatformMesh Mesh(52, FourDaemons);
+  cr_assert(Mesh.start());
+  PlatformStoreFaults Cut;
+  Cut.Refused = {"d0"};
+  Mesh.store().setFaults(Cut);
+  Mesh.declare(3, "extra");
+  cr_assert(Mesh.waitUntil([&] { return isServed(Mesh.send(0, "/extra/1")); }));
+
+  // Longer than a lease lasts.
+  int Holder = Mesh.holderOf(100);
+  for (int Round = 0; Round < 100; ++Round) {
+    cr_assert(isServed(Mesh.sendKey(Round % 4, 100)));
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  cr_assert_eq(Mesh.holderOf(100), Holder);
+}
+
+/// A daemon that is killed takes up its keys where it left them.
+Test(PlatformMesh, ARestartedDaemonServesItsKeys) {
+  PlatformMesh Mesh(44, FourDaemons);
+  cr_assert(Mesh.start());
+  int Holder = Mesh.holderOf(100);
+  Mesh.signalDaemon(Holder, SIGKILL);
+  Mesh.startDaemon(Holder);
+  cr_assert(Mesh.waitUntil([&] { return isServed(Mesh.sendKey(2, 100)); }));
+  cr_assert_eq(Mesh.holderOf(100), Holder);
+}
+
+/// The keys of a daemon that stays away go to the other server.
+Test(PlatformMesh, KeysOfALostDaemonMove) {
+  PlatformMesh Mesh(45, FourDaemons);
+  cr_assert(Mesh.start());
+  int Holder = Mesh.holderOf(100);
+  Mesh.signalDaemon(Holder, SIGKILL);
+  cr_assert(Mesh.waitUntil([&] { return Mesh.holderOf(100) == 1 - Holder; }));
+  cr_assert(Mesh.waitUntil([&] { return isServed(Mesh.sendKey(3, 100)); }));
+}
+
+/// A leaving server's keys go to the other one, and nothing new to it.
+Test(PlatformMesh, LeavingMovesKeysAndRequests) {
+  PlatformMesh Mesh(46, FourDaemons);
+  cr_assert(Mesh.start());
+  Mesh.server(0).leave();
+  Mesh.server(2).leave();
+  cr_assert(Mesh.waitUntil(
+      [&] { return Mesh.server(0).heldCount() == 0 && Mesh.allHeld(); }));
+
+  cr_assert(Mesh.waitUntil([&] {
+    std::size_t Before = Mesh.server(2).runs().size();
+    for (int Time = 0; Time < 8; ++Time) {
+      cr_assert(isServed(Mesh.send(Time % 4, "/lists/1")));
+    }
+    return Mesh.server(2).runs().size() == Before;
+  }));
+}
+
+/// A request that may run once only is not repeated when its answer is lost;
+/// one that may be repeated is, at another server.
+Test(PlatformMesh, LostAnswersAreRepeatedOnlyWhereAllowed) {
+  PlatformMesh Mesh(47, FourDaemons);
+  cr_assert(Mesh.start());
+  PlatformServerFaults Losing;
+  Losing.LoseAnswers = true;
+  Mesh.server(2).setFaults(Losing);
+  Mesh.server(3).setFaults(Losing);
+
+  std::size_t Before =
+      Mesh.server(2).runs().size() + Mesh.server(3).runs().size();
+  cr_assert_eq(statusOf(Mesh.send(2, "/bookings/1", {}, http::verb::post)),
+               502);
+  std::size_t After =
+      Mesh.server(2).runs().size() + Mesh.server(3).runs().size();
+  cr_assert_eq(After, Before + 1);
+
+  Mesh.server(3).setFaults({});
+  for (int Time = 0; Time < 6; ++Time) {
+    cr_assert(isServed(Mesh.send(2, "/lists/1")));
+  }
+}
+
+/// An answer with another request's id never reaches the caller.
+Test(PlatformMesh, ForeignAnswersAreDropped) {
+  PlatformMesh Mesh(48, FourDaemons);
+  cr_assert(Mesh.start());
+  PlatformServerFaults Wrong;
+  Wrong.WrongIds = true;
+  Mesh.server(2).setFaults(Wrong);
+  Mesh.server(3).setFaults(Wrong);
+  unsigned Status = statusOf(
+      Mesh.send(0, "/bookings/1", {{"Deadline-Ms", "1000"}}, http::verb::post));
+  cr_assert(Status == 502 || Status == 504, "status %u", Status);
+}
+
+/// A server that refuses has not run the request, so another may.
+Test(PlatformMesh, RefusedRequestsGoElsewhere) {
+  PlatformMesh Mesh(49, FourDaemons);
+  cr_assert(Mesh.start());
+  PlatformServerFaults Full;
+  Full.Refuse = true;
+  Mesh.server(2).setFaults(Full);
+  for (int Time = 0; Time < 6; ++Time) {
+    cr_assert(isServed(Mesh.send(2, "/bookings/1", {}, http::verb::post)));
+  }
+
+  Mesh.server(3).setFaults(Full);
+  ExchangeResult Result = Mesh.send(2, "/bookings/1", {}, http::verb::post);
+  cr_assert_eq(statusOf(Result), 503);
+  cr_assert(headerOf(Result.Response, "Retry-After") != "");
+}
+
+/// Reports that nobody here sent, or that cannot be read, change nothing.
+Test(PlatformMesh, ForgedReportsChangeNothing) {
+  PlatformMesh Mesh(50, FourDaemons);
+  cr_assert(Mesh.start());
+  std::string Host = Mesh.hostOf(2);
+  const std::string Forged[] = {
+      "",
+      "{",
+      "[1,2]",
+      R"({"service":5})",
+      R"({"service":"bookings","address":"10.9.9.9:1","zone":"z","slots":6,)"
+      R"("state":"ready","sequence":99999,"born":9999999999999})",
+      R"({"service":"unheard","address":")" + Host +
+          R"(:8090","zone":"z",)"
+          R"("slots":6,"state":"ready","sequence":99999,"born":9999999999999})",
+      R"({"service":"bookings","address":")" + Host +
+          R"(:8090","zone":"z",)"
+          R"("slots":6,"state":"odd","sequence":99999,"born":9999999999999})",
+      R"({"service":"bookings","address":")" + Host +
+          R"(:8090","zone":"z",)"
+          R"("slots":6,"state":"draining","sequence":1,"born":5})"};
+  for (const std::string &Body : Forged) {
+    Mesh.report(2, "forged", Body);
+  }
+  for (int Time = 0; Time < 6; ++Time) {
+    cr_assert(isServed(Mesh.send(2, "/lists/1")));
+  }
+  cr_assert(Mesh.logOf(2).find("report_refused") != std::string::npos);
+  cr_assert(Mesh.logOf(2).find("report_ignored") != std::string::npos);
+}
+
+/// SIGTERM: not ready at once, what is under way is finished, then the end.
+/// SIGHUP: the settings are read again and nothing is lost.
+Test(PlatformMesh, StopsInOrder) {
+  PlatformMesh Mesh(51, FourDaemons);
+  cr_assert(Mesh.start());
+  Mesh.signalDaemon(2, SIGHUP);
+  cr_assert(Mesh.waitUntil([&] {
+    return Mesh.logOf(2).find("event=reloaded") != std::string::npos;
+  }));
+
+  PlatformServerFaults Slow;
+  Slow.Work = milliseconds(1500);
+  Mesh.server(2).setFaults(Slow);
+  Mesh.server(3).setFaults(Slow);
+  ExchangeResult Result;
+  std::thread Caller(
+      [&] { Result = Mesh.send(2, "/bookings/1", {}, http::verb::post); });
+  std::this_thread::sleep_for(milliseconds(300));
+  Mesh.signalDaemon(2, SIGTERM);
+  BlockingClient Asker;
+  cr_assert(Mesh.waitUntil([&] {
+    ExchangeResult Asked =
+        Asker.get({Mesh.hostOf(2), 8081}, "/api/readyz", milliseconds(2000));
+    return statusOf(Asked) == 503;
+  }));
+  Caller.join();
+  cr_assert(isServed(Result), "status %u", statusOf(Result));
+  cr_assert_eq(Mesh.waitForExit(2), 0);
+}
--- a/tests/mesh/StoreClockTest.cpp
+++ b/tests/mesh/StoreClockTest.cpp
@@ -20,14 +20,15 @@
     // The store's time at a moment of this machine's clock.
     TimePoint Sent{std::chrono::seconds(50)};
     auto StoreAt = [&](TimePoint Moment) {
-      return std::chrono::duration_cast<Duration>(
-          std::chrono::hours(3) + (Moment - Sent) * Speed);
+      return std::chrono::duration_cast<Duration>(std::chrono::hours(3) +
+                                                  (Moment - Sent) * Speed);
     };
 
     StoreClock Clock;
     Clock.observe(StoreAt(Sent + There), Sent, Sent + There + Back);
     TimePoint Now = Sent + There + Back + Later;
-    RC_ASSERT(*Clock.earliest(Now) <= StoreAt(Now) + std::chrono::microseconds(1));
+    RC_ASSERT(*Clock.earliest(Now) <=
+              StoreAt(Now) + std::chrono::microseconds(1));
 
     Duration End = StoreAt(Sent + There) + Lease;
     TimePoint Until = *Clock.certainlyBefore(End);
