--- a/mesh/KeyKeeper.cpp
+++ b/mesh/KeyKeeper.cpp
@@ -105,9 +105,9 @@
 
 const char *nameOf(KeyEvent Event) { return nameIn(KeyEventNames, Event); }
 
-KeyKeeper::KeyKeeper(InstanceId Instance, std::uint64_t Process, Terms Bounds,
-                     const MeshView &View, KeyKeeperActions &Actions,
-                     TimePoint Now)
+KeyKeeper::KeyKeeper(const InstanceId &Instance, std::uint64_t Process,
+                     Terms Bounds, const MeshView &View,
+                     KeyKeeperActions &Actions, TimePoint Now)
     : Instance(Instance), Bounds(Bounds), View(View), Actions(Actions),
       Lease(Instance, Process, {}), ReportedAt(Now),
       HoldEnd(Now + std::chrono::duration_cast<Duration>(this->holdTime() *
--- a/mesh/KeyKeeper.h
+++ b/mesh/KeyKeeper.h
@@ -81,7 +81,7 @@
     Duration LongestHold = std::chrono::seconds(10);
   };
 
-  KeyKeeper(InstanceId Instance, std::uint64_t Process, Terms Bounds,
+  KeyKeeper(const InstanceId &Instance, std::uint64_t Process, Terms Bounds,
             const MeshView &View, KeyKeeperActions &Actions, TimePoint Now);
 
   /// The backend server reported; newer than all reports before it.
--- a/mesh/KeyMap.cpp
+++ b/mesh/KeyMap.cpp
@@ -86,7 +86,9 @@
     OwnedKeys Tail = Entry;
     Tail.Keys.From = First;
     Entry.Keys.To = First - 1;
-    this->Entries.insert(this->Entries.begin() + Index + 1, Tail);
+    this->Entries.insert(std::next(this->Entries.begin(),
+                                   static_cast<std::ptrdiff_t>(Index) + 1),
+                         Tail);
     return;
   }
 }
