--- a/mesh/Gate.cpp
+++ b/mesh/Gate.cpp
@@ -62,8 +62,9 @@
 };
 
 Gate::Gate(asio::io_context &Io, LocalServer &Server, KeyAccess &Keys,
-           const RequestDialect &Dialect, std::function<void()> OnRefused)
-    : Io(Io), Server(Server), Keys(Keys), Dialect(Dialect),
+           const RequestDialect &Dialect, MeshMetrics &Counters,
+           std::function<void()> OnRefused)
+    : Io(Io), Server(Server), Keys(Keys), Dialect(Dialect), Counters(Counters),
       OnRefused(std::move(OnRefused)), Client(Io, serverLimits()),
       Queue(fixedLimits(), Learned,
             std::make_unique<UrgencyDiscipline>(Learned)),
@@ -142,6 +143,7 @@
   if (Result.Outcome == RequestOutcome::Answered) {
     double Seconds = std::chrono::duration<double>(Held).count();
     this->MeanSeconds += MeanWeight * (Seconds - this->MeanSeconds);
+    this->Counters.onServerRun(Held);
   }
   if (Terms.Key) {
     this->Keys.recordLoad(*Terms.Key, Held, Now);
--- a/mesh/Gate.h
+++ b/mesh/Gate.h
@@ -3,6 +3,7 @@
 #include "coordination/AdmissionQueue.h"
 #include "mesh/KeyAccess.h"
 #include "mesh/LocalServer.h"
+#include "mesh/MeshMetrics.h"
 #include "mesh/RequestDialect.h"
 #include "mesh/Try.h"
 #include "net/HttpClient.h"
@@ -18,7 +19,8 @@
   /// \p OnRefused is called when no process listens at the backend server's
   /// address.
   Gate(boost::asio::io_context &Io, LocalServer &Server, KeyAccess &Keys,
-       const RequestDialect &Dialect, std::function<void()> OnRefused);
+       const RequestDialect &Dialect, MeshMetrics &Counters,
+       std::function<void()> OnRefused);
 
   TryResult serve(HttpRequest &Request, const TryTerms &Terms,
                   CallerWatch &Watch, const boost::asio::yield_context &Yield);
@@ -52,6 +54,7 @@
   LocalServer &Server;
   KeyAccess &Keys;
   const RequestDialect &Dialect;
+  MeshMetrics &Counters;
   std::function<void()> OnRefused;
   HttpClient Client;
   ServiceTimes Learned;
--- a/mesh/Ingress.cpp
+++ b/mesh/Ingress.cpp
@@ -97,9 +97,11 @@
 
 Ingress::Ingress(asio::io_context &Io, const MeshSettings &Config,
                  const MeshView &View, const LocalServer &Server, Gate &Local,
-                 const RequestDialect &Dialect, IngressEvents &Events)
+                 const RequestDialect &Dialect, IngressEvents &Events,
+                 MeshMetrics &Counters)
     : Io(Io), Config(Config), View(View), Server(Server), Local(Local),
-      Dialect(Dialect), Events(Events), Peers(Io, peerLimits(Config)),
+      Dialect(Dialect), Events(Events), Counters(Counters),
+      Peers(Io, peerLimits(Config)),
       Picker(Config.Region, Config.DataCenter, seedOf(Config.Instance)),
       Budget(budgetOf(Config)), Random(seedOf(Config.Instance + "/targets")) {}
 
@@ -414,6 +416,8 @@
 
 HttpResponse Ingress::finish(TryResult &&Result, const Journey &Way) {
   this->log(Result, Way);
+  this->Counters.onRequest(Result.Outcome, Result.Reason,
+                           BootClock::now() - Way.ArrivedAt);
   if (Result.Outcome == RequestOutcome::Answered) {
     return std::move(Result.Response);
   }
--- a/mesh/Ingress.h
+++ b/mesh/Ingress.h
@@ -2,6 +2,7 @@
 
 #include "mesh/Gate.h"
 #include "mesh/InstancePicker.h"
+#include "mesh/MeshMetrics.h"
 #include "mesh/RetryBudget.h"
 
 namespace hemlockspar {
@@ -29,7 +30,8 @@
 public:
   Ingress(boost::asio::io_context &Io, const MeshSettings &Config,
           const MeshView &View, const LocalServer &Server, Gate &Local,
-          const RequestDialect &Dialect, IngressEvents &Events);
+          const RequestDialect &Dialect, IngressEvents &Events,
+          MeshMetrics &Counters);
 
   /// Answers a request of a caller on this machine.
   HttpResponse serveCaller(HttpRequest &Request, CallerWatch &Watch,
@@ -89,6 +91,7 @@
   Gate &Local;
   const RequestDialect &Dialect;
   IngressEvents &Events;
+  MeshMetrics &Counters;
   HttpClient Peers;
   InstancePicker Picker;
   RetryBudget Budget;
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -59,6 +59,7 @@
   HttpResponse serveInner(HttpRequest &Request, CallerWatch &Watch,
                           const asio::yield_context &Yield);
   HttpResponse serveReadiness(const HttpRequest &Request) const;
+  HttpResponse serveMetrics();
   bool isReady() const;
   bool isKeyed() const;
   void tick();
@@ -90,6 +91,7 @@
   const MeshAdapters &Adapters;
   asio::io_context Io;
 
+  MeshMetrics Counters;
   MeshView View;
   StorePath Path;
   std::unique_ptr<Store> Rows;
@@ -105,6 +107,7 @@
   HttpServer Inner;
   HttpServer Reports;
   HttpServer Readiness;
+  HttpServer MetricsPage;
 
   asio::steady_timer Ticker;
   asio::steady_timer StopTimer;
@@ -131,13 +134,14 @@
       Keeper(Config.Instance, chooseProcessNumber(),
              {Config.Heartbeat, Config.LongestHold}, View, *this,
              BootClock::now()),
-      Way(Io, Server, Keeper, *Adapters.Requests,
+      Way(Io, Server, Keeper, *Adapters.Requests, Counters,
           [this] {
             this->Server.onRefused();
             this->Keeper.onServerRefused(BootClock::now());
             this->onServerChanged();
           }),
-      Requests(Io, Config, View, Server, Way, *Adapters.Requests, *this),
+      Requests(Io, Config, View, Server, Way, *Adapters.Requests, *this,
+               Counters),
       Desk(Io, View, Server, Keeper, *Adapters.Reports,
            [this] { this->onServerChanged(); }),
       Callers(Io, limitsOf(Config),
@@ -160,6 +164,11 @@
                        const asio::yield_context &) {
                   return this->serveReadiness(Request);
                 }),
+      MetricsPage(
+          Io, limitsOf(Config),
+          [this](HttpRequest &, CallerWatch &, const asio::yield_context &) {
+            return this->serveMetrics();
+          }),
       Ticker(Io), StopTimer(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP) {
   this->View.listen([this] { this->applyConfiguration(); });
 }
@@ -185,6 +194,15 @@
     return 1;
   }
 
+  // Requests are served without the page, too.
+  absl::Status Page = this->Config.Metrics.Port > 0
+                          ? this->MetricsPage.listen(this->Config.Metrics)
+                          : absl::OkStatus();
+  if (!Page.ok()) {
+    LogLine(LogLevel::Warning, "daemon", "no_metrics_page")
+        .with("error", std::string(Page.message()));
+  }
+
   this->awaitSignal();
   this->Sync.start();
   this->tick();
@@ -263,6 +281,18 @@
                       11);
 }
 
+HttpResponse MeshDaemon::serveMetrics() {
+  const ConfigurationPtr &InForce = this->View.configuration();
+  this->Counters.setLoad(this->Way.load());
+  this->Counters.setConfiguration(InForce ? InForce->Version : 0);
+  this->Counters.setInstances(this->View.instances().size());
+
+  HttpResponse Response(http::status::ok, 11);
+  Response.set(http::field::content_type, "text/plain; version=0.0.4");
+  Response.body() = this->Counters.toText();
+  return Response;
+}
+
 bool MeshDaemon::isKeyed() const {
   const ConfigurationPtr &InForce = this->View.configuration();
   return InForce && InForce->isKeyed(this->Server.service());
--- /dev/null
+++ b/mesh/MeshMetrics.cpp
@@ -0,0 +1,83 @@
+#include "mesh/MeshMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/text_serializer.h>
+
+namespace hemlockspar {
+
+namespace {
+
+/// Upper ends of the latency classes, in seconds: about the objectives and
+/// timeouts that operators declare.
+const prometheus::Histogram::BucketBoundaries LatencyBounds = {
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0};
+
+prometheus::Histogram &histogram(prometheus::Registry &Registry,
+                                 const char *Name, const char *Help) {
+  return prometheus::BuildHistogram()
+      .Name(Name)
+      .Help(Help)
+      .Register(Registry)
+      .Add({}, LatencyBounds);
+}
+
+prometheus::Gauge &gauge(prometheus::Registry &Registry, const char *Name,
+                         const char *Help) {
+  return prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add(
+      {});
+}
+
+double seconds(Duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+} // namespace
+
+MeshMetrics::MeshMetrics()
+    : Registry(std::make_unique<prometheus::Registry>()),
+      Requests(prometheus::BuildCounter()
+                   .Name("hemlockspar_requests_total")
+                   .Help("requests of callers by outcome and reason")
+                   .Register(*Registry)),
+      RequestSeconds(histogram(*Registry, "hemlockspar_request_seconds",
+                               "time from a request to its answer")),
+      ServerSeconds(histogram(*Registry, "hemlockspar_server_seconds",
+                              "time that a request held a slot")),
+      Running(gauge(*Registry, "hemlockspar_server_running",
+                    "requests at the backend server")),
+      Waiting(gauge(*Registry, "hemlockspar_server_waiting",
+                    "requests that wait for a slot")),
+      Configuration(gauge(*Registry, "hemlockspar_configuration_version",
+                          "version of the configuration in force")),
+      Instances(gauge(*Registry, "hemlockspar_instances",
+                      "instances that are known")) {}
+
+void MeshMetrics::onRequest(RequestOutcome Outcome, TryReason Reason,
+                            Duration Took) {
+  this->Requests.Add({{"outcome", nameOf(Outcome)}, {"reason", nameOf(Reason)}})
+      .Increment();
+  this->RequestSeconds.Observe(seconds(Took));
+}
+
+void MeshMetrics::onServerRun(Duration Took) {
+  this->ServerSeconds.Observe(seconds(Took));
+}
+
+void MeshMetrics::setLoad(const ServerLoad &Load) {
+  this->Running.Set(Load.Running);
+  this->Waiting.Set(Load.Waiting);
+}
+
+void MeshMetrics::setConfiguration(std::uint64_t Version) {
+  this->Configuration.Set(static_cast<double>(Version));
+}
+
+void MeshMetrics::setInstances(std::size_t Count) {
+  this->Instances.Set(static_cast<double>(Count));
+}
+
+std::string MeshMetrics::toText() const {
+  return prometheus::TextSerializer().Serialize(this->Registry->Collect());
+}
+
+} // namespace hemlockspar
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -21,6 +21,7 @@
 constexpr std::uint16_t ReportPort = 8082;
 constexpr std::uint16_t InnerPort = 8083;
 constexpr std::uint16_t ServerPort = 8090;
+constexpr std::uint16_t MetricsPort = 8084;
 constexpr std::uint16_t StorePort = 7000;
 constexpr auto CallTimeout = std::chrono::seconds(10);
 constexpr auto PollInterval = std::chrono::milliseconds(20);
@@ -110,7 +111,7 @@
        << "listen:\n  callers: " << Host << ":" << CallerPort
        << "\n  readiness: " << Host << ":" << ReadyPort
        << "\n  reports: " << Host << ":" << ReportPort << "\n  inner: " << Host
-       << ":" << InnerPort
+       << ":" << InnerPort << "\n  metrics_port: " << MetricsPort
        << "\nstore:\n  address: " << this->storeOf(Index).toText()
        << "\nserver:\n  address: " << Host << ":" << ServerPort
        << "\n  service: " << this->Services[static_cast<std::size_t>(Index)]
--- a/tests/mesh/PlatformMeshTest.cpp
+++ b/tests/mesh/PlatformMeshTest.cpp
@@ -56,6 +56,31 @@
   cr_assert(Left > 0 && Left <= 8000);
 }
 
+/// A request's id leads from the daemon that took it to the one that served
+/// it, and the page of counters counts it.
+Test(PlatformMesh, RequestsAreLoggedAndCounted) {
+  PlatformMesh Mesh(53, FourDaemons);
+  cr_assert(Mesh.start());
+  int Holder = Mesh.holderOf(5);
+  cr_assert(isServed(Mesh.send(
+      2, "/menus/5", {{"Shard-Key", "5"}, {"Request-Id", "q-trace"}})));
+  for (int Index : {2, Holder}) {
+    cr_assert(Mesh.waitUntil([&] {
+      return Mesh.logOf(Index).find("request=q-trace") != std::string::npos;
+    }));
+  }
+
+  BlockingClient Asker;
+  ExchangeResult Page =
+      Asker.get({Mesh.hostOf(2), 8084}, "/metrics", milliseconds(5000));
+  cr_assert(isServed(Page));
+  cr_assert(Page.Response.body().find(
+                "hemlockspar_requests_total{outcome=\"answered\"") !=
+            std::string::npos);
+  cr_assert(Page.Response.body().find("hemlockspar_request_seconds_bucket") !=
+            std::string::npos);
+}
+
 /// A configuration comes into force everywhere, an older or unreadable one
 /// changes nothing.
 Test(PlatformMesh, ConfigurationsComeIntoForce) {
