--- a/mesh/LocalServer.cpp
+++ b/mesh/LocalServer.cpp
@@ -10,8 +10,9 @@
                                                             "foreign"};
 
 /// Part of the time allowed for which a leaving backend server is still sent
-/// requests: they may wait and travel before they reach it.
-constexpr double LeaveShare = 0.6;
+/// requests: it is asked last thing before a request is sent, on the same
+/// machine.
+constexpr double LeaveShare = 0.85;
 
 } // namespace
 
