mesh: requests for keys that are being given wait for their next owner's name

It lets the request wait now until the map says who does. Also leases are read each 5 s, and a receiver's word replaces its lease's load.

--- a/mesh/KeyAccess.h
+++ b/mesh/KeyAccess.h
@@ -12,7 +12,8 @@
   /// Whether a request for \p Key may be sent to the backend server now.
   virtual bool serves(KeyNumber Key, TimePoint Now) const = 0;
 
-  /// Whether \p Key belongs here and will soon be served.
+  /// Whether \p Key belongs here: it will soon be served, or have another
+  /// owner.
   virtual bool expects(KeyNumber Key) const = 0;
 
   /// A request for \p Key held a slot for \p Busy.
--- a/mesh/KeyKeeper.cpp
+++ b/mesh/KeyKeeper.cpp
@@ -42,7 +42,7 @@
 
 /// Without a reason the leases are read this often, for the owners' loads and
 /// for owners that are gone.
-constexpr auto LeaseReadInterval = std::chrono::milliseconds(3500);
+constexpr auto LeaseReadInterval = std::chrono::milliseconds(5000);
 
 constexpr auto KeysReadPause = std::chrono::milliseconds(300);
 
@@ -61,7 +61,7 @@
 
 /// Between two gifts of one owner, so that the effect of one shows in the load
 /// before the next is weighed.
-constexpr auto GiftPause = std::chrono::milliseconds(1500);
+constexpr auto GiftPause = std::chrono::milliseconds(1000);
 
 /// Requests that still run keep a handover waiting; after this long the keys
 /// stay where they are.
@@ -254,9 +254,8 @@
 
 bool KeyKeeper::expects(KeyNumber Key) const {
   const MeshView::VersionedKeyMap *Known = this->map();
-  return Known && !this->Leaving && !this->Refused &&
-         Known->Map.find(Key).Holder.Instance == this->Instance &&
-         !this->isGiving({Key, Key});
+  return Known && !this->Refused &&
+         Known->Map.find(Key).Holder.Instance == this->Instance;
 }
 
 // The lease
@@ -580,6 +579,11 @@
                               const std::optional<OfferAnswer> &Answer,
                               TimePoint Now) {
   this->OfferedTo.clear();
+  auto Seen = this->Leases.find(Receiver);
+  if (Answer && Seen != this->Leases.end()) {
+    // Its own word is newer than its lease.
+    Seen->second.Row.Load = Answer->Load;
+  }
   const InstanceRow *Row = this->View.findInstance(Receiver);
   bool Taken = Answer && Answer->Taken && Row && this->map() &&
                this->Gifts.empty() && !this->Leaving;
--- a/mesh/KeyKeeper.h
+++ b/mesh/KeyKeeper.h
@@ -121,8 +121,9 @@
   /// Whether a request for \p Key may be sent to the backend server.
   bool serves(KeyNumber Key, TimePoint Now) const override;
 
-  /// Whether \p Key belongs here and will be served once the backend server
-  /// has been granted it.
+  /// Whether \p Key belongs here: it will be served once the backend server has
+  /// been granted it, or it is about to have another owner, who can be named
+  /// then.
   bool expects(KeyNumber Key) const override;
 
   /// Whether the backend server holds no key at present.
