--- a/tests/mesh/KeyWorld.cpp
+++ b/tests/mesh/KeyWorld.cpp
@@ -263,7 +263,7 @@
 }
 
 void KeyWorld::commit(Node &Member, const TableTransaction &Write,
-                      std::function<void(const StoreCommit &)> OnDone) {
+                      const std::function<void(const StoreCommit &)> &OnDone) {
   std::uint64_t Process = Member.Process;
   auto Finish = [this, &Member, Process, OnDone](const StoreCommit &Commit) {
     if (Member.Process == Process) {
@@ -310,7 +310,7 @@
 
 void KeyWorld::read(
     Node &Member, const std::string &Table,
-    std::function<void(const std::optional<StoreRows> &)> OnDone) {
+    const std::function<void(const std::optional<StoreRows> &)> &OnDone) {
   std::uint64_t Process = Member.Process;
   bool Fails = this->faulty(KeyFaultKind::StoreRefuses, Member.Number) ||
                this->faulty(KeyFaultKind::StoreDown, Member.Number) ||
--- a/tests/mesh/KeyWorld.h
+++ b/tests/mesh/KeyWorld.h
@@ -92,9 +92,10 @@
                   const KeyGrants &Grants);
   StoreCommit execute(const TableTransaction &Write);
   void commit(Node &Member, const TableTransaction &Write,
-              std::function<void(const StoreCommit &)> OnDone);
-  void read(Node &Member, const std::string &Table,
-            std::function<void(const std::optional<StoreRows> &)> OnDone);
+              const std::function<void(const StoreCommit &)> &OnDone);
+  void
+  read(Node &Member, const std::string &Table,
+       const std::function<void(const std::optional<StoreRows> &)> &OnDone);
   StoreRows rowsOf(const std::string &Table) const;
   void followAll();
   void checkHolders();
--- a/tests/mesh/PlatformMeshTest.cpp
+++ b/tests/mesh/PlatformMeshTest.cpp
@@ -1,5 +1,6 @@
 #include "tests/mesh/PlatformMesh.h"
 
+#include <absl/strings/str_cat.h>
 #include <criterion/criterion.h>
 #include <csignal>
 
@@ -243,23 +244,24 @@
 Test(PlatformMesh, ForgedReportsChangeNothing) {
   PlatformMesh Mesh(50, FourDaemons);
   cr_assert(Mesh.start());
-  std::string Host = Mesh.hostOf(2);
-  const std::string Forged[] = {
+  auto Report = [](const std::string &Service, const std::string &At,
+                   const std::string &State, const std::string &Rest) {
+    return absl::StrCat(R"({"service":")", Service, R"(","address":")", At,
+                        R"(","zone":"z","slots":6,"state":")", State, R"(",)",
+                        Rest, "}");
+  };
+  const std::string Newer = R"("sequence":99999,"born":9999999999999)";
+  const std::string Older = R"("sequence":1,"born":5)";
+  std::string Here = Mesh.hostOf(2) + ":8090";
+  const std::vector<std::string> Forged = {
       "",
       "{",
       "[1,2]",
       R"({"service":5})",
-      R"({"service":"bookings","address":"10.9.9.9:1","zone":"z","slots":6,)"
-      R"("state":"ready","sequence":99999,"born":9999999999999})",
-      R"({"service":"unheard","address":")" + Host +
-          R"(:8090","zone":"z",)"
-          R"("slots":6,"state":"ready","sequence":99999,"born":9999999999999})",
-      R"({"service":"bookings","address":")" + Host +
-          R"(:8090","zone":"z",)"
-          R"("slots":6,"state":"odd","sequence":99999,"born":9999999999999})",
-      R"({"service":"bookings","address":")" + Host +
-          R"(:8090","zone":"z",)"
-          R"("slots":6,"state":"draining","sequence":1,"born":5})"};
+      Report("bookings", "10.9.9.9:1", "ready", Newer),
+      Report("unheard", Here, "ready", Newer),
+      Report("bookings", Here, "odd", Newer),
+      Report("bookings", Here, "draining", Older)};
   for (const std::string &Body : Forged) {
     Mesh.report(2, "forged", Body);
   }
