--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -17,6 +17,7 @@
 class PlatformMesh {
 public:
   /// \p Number, different in each test, chooses the addresses 127.Number.*.
+  /// Programs run side by side: these begin at 61, those of Mesh end below.
   /// \p Services names the service beside each daemon.
   PlatformMesh(int Number, std::vector<std::string> Services);
   ~PlatformMesh();
--- a/tests/mesh/PlatformMeshTest.cpp
+++ b/tests/mesh/PlatformMeshTest.cpp
@@ -28,7 +28,7 @@
 /// The whole path: keys go to their holders and the rest to any server, with
 /// the headers that servers expect and answers as they made them.
 Test(PlatformMesh, ServesFromEveryDaemon) {
-  PlatformMesh Mesh(41, FourDaemons);
+  PlatformMesh Mesh(61, FourDaemons);
   cr_assert(Mesh.start());
 
   for (int Index = 0; Index < 4; ++Index) {
@@ -60,7 +60,7 @@
 /// A request's id leads from the daemon that took it to the one that served
 /// it, and the page of counters counts it.
 Test(PlatformMesh, RequestsAreLoggedAndCounted) {
-  PlatformMesh Mesh(53, FourDaemons);
+  PlatformMesh Mesh(73, FourDaemons);
   cr_assert(Mesh.start());
   int Holder = Mesh.holderOf(5);
   cr_assert(isServed(Mesh.send(
@@ -85,7 +85,7 @@
 /// A configuration comes into force everywhere, an older or unreadable one
 /// changes nothing.
 Test(PlatformMesh, ConfigurationsComeIntoForce) {
-  PlatformMesh Mesh(42, FourDaemons);
+  PlatformMesh Mesh(62, FourDaemons);
   cr_assert(Mesh.start());
   cr_assert_eq(statusOf(Mesh.send(3, "/extra/1")), 404);
 
@@ -112,7 +112,7 @@
 
 /// While the store serves nobody, owners go on serving their keys.
 Test(PlatformMesh, KeysAreServedWithoutTheStore) {
-  PlatformMesh Mesh(43, FourDaemons);
+  PlatformMesh Mesh(63, FourDaemons);
   cr_assert(Mesh.start());
   PlatformStoreFaults Down;
   Down.Refused = {"*"};
@@ -130,7 +130,7 @@
 /// A daemon that the store does not answer gets configurations and keeps its
 /// lease through the others.
 Test(PlatformMesh, OneDaemonWithoutTheStore) {
-  PlatformMesh Mesh(52, FourDaemons);
+  PlatformMesh Mesh(72, FourDaemons);
   cr_assert(Mesh.start());
   PlatformStoreFaults Cut;
   Cut.Refused = {"d0"};
@@ -149,7 +149,7 @@
 
 /// A daemon that is killed takes up its keys where it left them.
 Test(PlatformMesh, ARestartedDaemonServesItsKeys) {
-  PlatformMesh Mesh(44, FourDaemons);
+  PlatformMesh Mesh(64, FourDaemons);
   cr_assert(Mesh.start());
   int Holder = Mesh.holderOf(100);
   Mesh.signalDaemon(Holder, SIGKILL);
@@ -160,7 +160,7 @@
 
 /// The keys of a daemon that stays away go to the other server.
 Test(PlatformMesh, KeysOfALostDaemonMove) {
-  PlatformMesh Mesh(45, FourDaemons);
+  PlatformMesh Mesh(65, FourDaemons);
   cr_assert(Mesh.start());
   int Holder = Mesh.holderOf(100);
   Mesh.signalDaemon(Holder, SIGKILL);
@@ -170,7 +170,7 @@
 
 /// A leaving server's keys go to the other one, and nothing new to it.
 Test(PlatformMesh, LeavingMovesKeysAndRequests) {
-  PlatformMesh Mesh(46, FourDaemons);
+  PlatformMesh Mesh(66, FourDaemons);
   cr_assert(Mesh.start());
   Mesh.server(0).leave();
   Mesh.server(2).leave();
@@ -189,7 +189,7 @@
 /// A request that may run once only is not repeated when its answer is lost;
 /// one that may be repeated is, at another server.
 Test(PlatformMesh, LostAnswersAreRepeatedOnlyWhereAllowed) {
-  PlatformMesh Mesh(47, FourDaemons);
+  PlatformMesh Mesh(67, FourDaemons);
   cr_assert(Mesh.start());
   PlatformServerFaults Losing;
   Losing.LoseAnswers = true;
@@ -212,7 +212,7 @@
 
 /// An answer with another request's id never reaches the caller.
 Test(PlatformMesh, ForeignAnswersAreDropped) {
-  PlatformMesh Mesh(48, FourDaemons);
+  PlatformMesh Mesh(68, FourDaemons);
   cr_assert(Mesh.start());
   PlatformServerFaults Wrong;
   Wrong.WrongIds = true;
@@ -225,7 +225,7 @@
 
 /// A server that refuses has not run the request, so another may.
 Test(PlatformMesh, RefusedRequestsGoElsewhere) {
-  PlatformMesh Mesh(49, FourDaemons);
+  PlatformMesh Mesh(69, FourDaemons);
   cr_assert(Mesh.start());
   PlatformServerFaults Full;
   Full.Refuse = true;
@@ -242,7 +242,7 @@
 
 /// Reports that nobody here sent, or that cannot be read, change nothing.
 Test(PlatformMesh, ForgedReportsChangeNothing) {
-  PlatformMesh Mesh(50, FourDaemons);
+  PlatformMesh Mesh(70, FourDaemons);
   cr_assert(Mesh.start());
   auto Report = [](const std::string &Service, const std::string &At,
                    const std::string &State, const std::string &Rest) {
@@ -275,7 +275,7 @@
 /// SIGTERM: not ready at once, what is under way is finished, then the end.
 /// SIGHUP: the settings are read again and nothing is lost.
 Test(PlatformMesh, StopsInOrder) {
-  PlatformMesh Mesh(51, FourDaemons);
+  PlatformMesh Mesh(71, FourDaemons);
   cr_assert(Mesh.start());
   Mesh.signalDaemon(2, SIGHUP);
   cr_assert(Mesh.waitUntil([&] {
