--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -1,6 +1,7 @@
 #include "mesh/MeshDaemon.h"
 
 #include "core/Log.h"
+#include "mesh/CountingStore.h"
 #include "mesh/Ingress.h"
 #include "mesh/OfferCalls.h"
 #include "mesh/ServerDesk.h"
@@ -128,7 +129,8 @@
     : Config(Config), SettingsPath(std::move(SettingsPath)), Adapters(Adapters),
       Io(1), Path(Io, Config.Store, Config.Inner.Host,
                   [this] { return this->relayPeers(); }),
-      Rows(Adapters.MakeStore(Io, Path)),
+      Rows(std::make_unique<CountingStore>(Adapters.MakeStore(Io, Path),
+                                           Counters)),
       Sync(Io, *Rows, View, *Adapters.Configurations), Server(Config, View),
       Offers(Io, Config.Inner.Host),
       Keeper(Config.Instance, chooseProcessNumber(),
@@ -356,6 +358,7 @@
   this->BusyAt = Now;
   this->Requests.beginStop();
   this->Callers.refuseKeepAlive();
+  this->Inner.refuseKeepAlive();
   LogLine(LogLevel::Info, "daemon", "stop_begun")
       .with("in_flight", static_cast<long long>(this->Callers.busyCount()));
   this->checkStopped();
@@ -376,7 +379,7 @@
   if (Idle) {
     this->Callers.drain();
   }
-  bool Ended = Idle && this->Drained;
+  bool Ended = Idle && this->Drained && this->Callers.connectionCount() == 0;
   if (Ended || Age >= this->Config.StopTime - EndMargin) {
     this->Io.stop();
     return;
--- a/mesh/MeshMetrics.cpp
+++ b/mesh/MeshMetrics.cpp
@@ -39,6 +39,10 @@
                    .Name("hemlockspar_requests_total")
                    .Help("requests of callers by outcome and reason")
                    .Register(*Registry)),
+      StoreCalls(prometheus::BuildCounter()
+                     .Name("hemlockspar_store_calls_total")
+                     .Help("calls to the platform's store by kind and table")
+                     .Register(*Registry)),
       RequestSeconds(histogram(*Registry, "hemlockspar_request_seconds",
                                "time from a request to its answer")),
       ServerSeconds(histogram(*Registry, "hemlockspar_server_seconds",
@@ -63,6 +67,11 @@
   this->ServerSeconds.Observe(seconds(Took));
 }
 
+void MeshMetrics::onStoreCall(const std::string &Kind,
+                              const std::string &Table) {
+  this->StoreCalls.Add({{"kind", Kind}, {"table", Table}}).Increment();
+}
+
 void MeshMetrics::setLoad(const ServerLoad &Load) {
   this->Running.Set(Load.Running);
   this->Waiting.Set(Load.Waiting);
--- a/mesh/MeshMetrics.h
+++ b/mesh/MeshMetrics.h
@@ -23,6 +23,9 @@
   /// A request held a slot of the backend server for \p Took.
   void onServerRun(Duration Took);
 
+  /// The store was called: \p Kind of call on \p Table.
+  void onStoreCall(const std::string &Kind, const std::string &Table);
+
   void setLoad(const ServerLoad &Load);
   void setConfiguration(std::uint64_t Version);
   void setInstances(std::size_t Count);
@@ -33,6 +36,7 @@
 private:
   std::unique_ptr<prometheus::Registry> Registry;
   prometheus::Family<prometheus::Counter> &Requests;
+  prometheus::Family<prometheus::Counter> &StoreCalls;
   prometheus::Histogram &RequestSeconds;
   prometheus::Histogram &ServerSeconds;
   prometheus::Gauge &Running;
--- a/net/Acceptor.cpp
+++ b/net/Acceptor.cpp
@@ -59,10 +59,37 @@
 }
 
 void Acceptor::close() {
+  if (this->Listener.is_open()) {
+    this->acceptWaiting();
+  }
   error_code Ignored;
   this->Listener.close(Ignored);
 }
 
+void Acceptor::acceptWaiting() {
+  error_code Error;
+  this->Listener.non_blocking(true, Error);
+
+  while (!Error && this->Connections < this->MaxConnections) {
+    Socket Accepted(this->Io);
+    this->Listener.accept(Accepted, Error);
+    if (!Error) {
+      this->start(std::move(Accepted));
+    }
+  }
+}
+
+void Acceptor::start(Socket Accepted) {
+  ++this->Connections;
+  asio::spawn(
+      this->Io,
+      [this,
+       Peer = std::move(Accepted)](const asio::yield_context &Yield) mutable {
+        this->serve(std::move(Peer), Yield);
+      },
+      asio::detached);
+}
+
 void Acceptor::acceptLoop(const asio::yield_context &Yield) {
   while (this->Listener.is_open()) {
     if (this->Connections >= this->MaxConnections) {
@@ -81,14 +108,7 @@
       continue;
     }
 
-    ++this->Connections;
-    asio::spawn(
-        this->Io,
-        [this,
-         Peer = std::move(Accepted)](const asio::yield_context &Later) mutable {
-          this->serve(std::move(Peer), Later);
-        },
-        asio::detached);
+    this->start(std::move(Accepted));
   }
 }
 
--- a/net/Acceptor.h
+++ b/net/Acceptor.h
@@ -30,11 +30,14 @@
   /// Where it listens, with the port that was chosen for port 0.
   Address localAddress() const;
 
-  /// Takes no more connections.
+  /// Takes no more connections. Those that were opened before this and wait to
+  /// be accepted are still served: to whoever opened them they look accepted.
   void close();
 
 private:
   void acceptLoop(const boost::asio::yield_context &Yield);
+  void acceptWaiting();
+  void start(Socket Accepted);
   void serve(Socket Peer, const boost::asio::yield_context &Yield);
 
   boost::asio::io_context &Io;
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -16,6 +16,10 @@
 
 constexpr std::size_t FirstReadBytes = 4096;
 
+/// While a server drains, a new connection's first request is awaited this
+/// long: about the way there and back between regions, and some scheduling.
+constexpr auto FirstRequestWait = std::chrono::milliseconds(250);
+
 /// The answer to a request that could not be read; nothing when the
 /// connection simply ended.
 std::optional<HttpResponse> responseToBadInput(const error_code &Error) {
@@ -51,6 +55,9 @@
   Stream Peer;
   boost::beast::flat_buffer Buffer;
   bool Busy = false;
+
+  /// A request was answered on it.
+  bool Used = false;
 };
 
 HttpServer::HttpServer(asio::io_context &Io, HttpLimits Limits,
@@ -60,7 +67,8 @@
           Io, Limits.Connections,
           [this](asio::ip::tcp::socket Peer, const asio::yield_context &Yield) {
             this->serve(std::move(Peer), Yield);
-          }) {}
+          }),
+      LastRequests(Io) {}
 
 void HttpServer::serve(asio::ip::tcp::socket Socket,
                        const asio::yield_context &Yield) {
@@ -79,7 +87,8 @@
   error_code Error;
 
   if (Peer.Buffer.size() == 0) {
-    Peer.Peer.expires_after(this->Limits.IdleTimeout);
+    Peer.Peer.expires_after(this->Draining ? FirstRequestWait
+                                           : this->Limits.IdleTimeout);
     std::size_t Count = Peer.Peer.async_read_some(
         Peer.Buffer.prepare(FirstReadBytes), Yield[Error]);
     if (Error) {
@@ -122,6 +131,7 @@
   bool Sent = this->send(Peer, Response, Yield);
   --this->Busy;
   Peer.Busy = false;
+  Peer.Used = true;
   return Sent && Response.keep_alive();
 }
 
@@ -169,9 +179,26 @@
 void HttpServer::drain() {
   this->KeepAlive = false;
   this->Incoming.close();
+  this->closeIdle(false);
+  if (this->Draining) {
+    return;
+  }
 
+  this->Draining = true;
+  this->LastRequests.expires_after(FirstRequestWait);
+  this->LastRequests.async_wait([this](const error_code &Error) {
+    if (!Error) {
+      this->closeIdle(true);
+    }
+  });
+}
+
+void HttpServer::closeIdle(bool Fresh) {
   for (Connection *Peer : this->Streams) {
-    if (!Peer->Busy) {
+    bool Idle = !Peer->Busy && (Fresh || Peer->Used);
+
+    // What has arrived is read next; closed now, it would get no answer.
+    if (Idle && peek(Peer->Peer.socket()) != ConnectionSight::DataWaiting) {
       Peer->Peer.cancel();
     }
   }
--- a/net/HttpServer.h
+++ b/net/HttpServer.h
@@ -3,6 +3,7 @@
 #include "net/Acceptor.h"
 #include "net/Http.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <set>
@@ -41,7 +42,8 @@
   void refuseKeepAlive() { this->KeepAlive = false; }
 
   /// Stops accepting; connections are closed after their next answer, idle
-  /// ones at once.
+  /// ones at once. A request that has arrived is answered, and a connection
+  /// that has carried none yet may still bring its first for a moment.
   void drain();
 
   /// Connections that are open.
@@ -56,13 +58,16 @@
   bool serveOne(Connection &Peer, const boost::asio::yield_context &Yield);
   HttpResponse handle(Connection &Peer, HttpRequest &Request,
                       const boost::asio::yield_context &Yield);
+  void closeIdle(bool Fresh);
   bool send(Connection &Peer, HttpResponse &Response,
             const boost::asio::yield_context &Yield);
 
   HttpLimits Limits;
   Handler OnRequest;
   Acceptor Incoming;
+  boost::asio::steady_timer LastRequests;
   bool KeepAlive = true;
+  bool Draining = false;
   std::size_t Busy = 0;
   std::set<Connection *> Streams;
 };
