mesh: waits for a slot are bounded by the route's objective

Ruled out: more refusals as such; under a lasting overload the number of answers is what the slots can do, whichever bound the queue has (WaitPolicyTest).

Change: the gate lets a request wait for three quarters of what is left to its objective after a mean run, or a quarter of what is left to its end if that is more. The objective travels with the hop.

WaitPolicyTest replays an overload of 1.5: in time over 9 in 10 of what the slots can do, under half with the bound by patience, with no fewer answers.

--- a/mesh/Gate.cpp
+++ b/mesh/Gate.cpp
@@ -1,6 +1,7 @@
 #include "mesh/Gate.h"
 
 #include "core/ErrorMacros.h"
+#include "mesh/WaitPolicy.h"
 #include "net/Event.h"
 
 #include <algorithm>
@@ -119,7 +120,11 @@
   this->Queue.setCapacity(
       std::max<std::uint32_t>(this->Server.report().Slots, 1));
   Duration Wait = this->expectedWait(Terms.Rank);
-  if (Wait > Terms.MaxWait) {
+  TimePoint Now = BootClock::now();
+  Duration Longest =
+      longestWait({Terms.MaxWait, Terms.AimAt - Now, Terms.GiveUpAt - Now,
+                   this->Learned.expected(Terms.RouteName)});
+  if (Wait > Longest) {
     TryResult Refusal = tryNotRun(TryReason::Busy, Wait);
     Refusal.Load = this->load();
     return Refusal;
@@ -134,7 +139,7 @@
 
   TimePoint DispatchedAt = BootClock::now();
   TryResult Result = this->dispatch(Request, Terms, Watch, Yield);
-  TimePoint Now = BootClock::now();
+  Now = BootClock::now();
   Duration Held = Now - DispatchedAt;
 
   bool Overloaded = Result.Reason == TryReason::ServerRefused;
--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr char Header[] = "Hs-Hop";
-constexpr std::size_t TermFields = 8;
+constexpr std::size_t TermFields = 9;
 constexpr std::size_t ResultFields = 12;
 
 /// Stands for a field without a value.
@@ -40,7 +40,8 @@
   Request.set(Header, absl::StrCat(
                           Terms.Service, " ", Key, " ", Terms.RouteName, " ",
                           Terms.Rank, " ", toMilliseconds(Terms.GiveUpAt - Now),
-                          " ", toMilliseconds(Terms.MaxWait), " ",
+                          " ", toMilliseconds(Terms.AimAt - Now), " ",
+                          toMilliseconds(Terms.MaxWait), " ",
                           Terms.CallerService, " ", Terms.Configuration));
 }
 
@@ -59,9 +60,10 @@
   Terms.RouteName = Fields[2];
   Terms.Rank = static_cast<std::uint32_t>(numberOf(Fields[3]));
   Terms.GiveUpAt = Now + spanOf(Fields[4]);
-  Terms.MaxWait = spanOf(Fields[5]);
-  Terms.CallerService = Fields[6];
-  Terms.Configuration = static_cast<std::uint64_t>(numberOf(Fields[7]));
+  Terms.AimAt = Now + spanOf(Fields[5]);
+  Terms.MaxWait = spanOf(Fields[6]);
+  Terms.CallerService = Fields[7];
+  Terms.Configuration = static_cast<std::uint64_t>(numberOf(Fields[8]));
   return Terms;
 }
 
--- a/mesh/Ingress.cpp
+++ b/mesh/Ingress.cpp
@@ -167,6 +167,7 @@
   Way.Terms.RouteName = Way.Chosen->Name;
   Way.Terms.Rank = Way.Chosen->Priority;
   Way.Terms.GiveUpAt = Now + Patience;
+  Way.Terms.AimAt = Now + Way.Chosen->Objective;
   Way.Terms.CallerService = this->Server.service();
   Way.Terms.Configuration = Way.InForce->Version;
   this->Budget.setInstances(this->View.instances().size());
--- a/mesh/Try.h
+++ b/mesh/Try.h
@@ -53,6 +53,9 @@
   /// An answer later than this is of no use.
   TimePoint GiveUpAt;
 
+  /// An answer until then is worth most to the caller.
+  TimePoint AimAt;
+
   /// It is refused at once when it would wait longer than this for a slot.
   Duration MaxWait{};
 
--- a/tests/mesh/HopCodecTest.cpp
+++ b/tests/mesh/HopCodecTest.cpp
@@ -18,6 +18,7 @@
   Terms.RouteName = "r-1";
   Terms.Rank = 2;
   Terms.GiveUpAt = Now + milliseconds(750);
+  Terms.AimAt = Now - milliseconds(40);
   Terms.MaxWait = milliseconds(90);
   Terms.CallerService = "desk";
   Terms.Configuration = 12;
@@ -29,6 +30,7 @@
   cr_assert(Read->Service == "menus" && Read->Key == 4711U);
   cr_assert(Read->RouteName == "r-1" && Read->Rank == 2);
   cr_assert(Read->GiveUpAt == Now + milliseconds(753));
+  cr_assert(Read->AimAt == Now - milliseconds(37));
   cr_assert(Read->MaxWait == milliseconds(90));
   cr_assert(Read->CallerService == "desk" && Read->Configuration == 12);
   cr_assert(!hop::takeTerms(Request, Now), "the header was left on");
