mesh: a burst's queue may be longer than one that stands

Change: a queue counts as standing for a rank when it has not been short for 800 ms; only then the quarter of the time to the end applies, else two fifths.

--- a/mesh/Gate.cpp
+++ b/mesh/Gate.cpp
@@ -1,7 +1,6 @@
 #include "mesh/Gate.h"
 
 #include "core/ErrorMacros.h"
-#include "mesh/WaitPolicy.h"
 #include "net/Event.h"
 
 #include <algorithm>
@@ -121,9 +120,12 @@
       std::max<std::uint32_t>(this->Server.report().Slots, 1));
   Duration Wait = this->expectedWait(Terms.Rank);
   TimePoint Now = BootClock::now();
+  this->Standing.onArrival(Terms.Rank, this->Queue.mustStartFirst(Terms.Rank),
+                           this->Queue.limit(), Now);
   Duration Longest =
       longestWait({Terms.MaxWait, Terms.AimAt - Now, Terms.GiveUpAt - Now,
-                   this->Learned.expected(Terms.RouteName)});
+                   this->Learned.expected(Terms.RouteName),
+                   this->Standing.stands(Terms.Rank, Now)});
   if (Wait > Longest) {
     TryResult Refusal = tryNotRun(TryReason::Busy, Wait);
     Refusal.Load = this->load();
--- a/mesh/Gate.h
+++ b/mesh/Gate.h
@@ -6,6 +6,7 @@
 #include "mesh/MeshMetrics.h"
 #include "mesh/RequestDialect.h"
 #include "mesh/Try.h"
+#include "mesh/WaitPolicy.h"
 #include "net/HttpClient.h"
 
 namespace hemlockspar {
@@ -59,6 +60,7 @@
   HttpClient Client;
   ServiceTimes Learned;
   AdmissionQueue Queue;
+  StandingQueue Standing;
   std::map<RequestNumber, Waiter *> Waiters;
   RequestNumber LastNumber = 0;
 
--- a/mesh/WaitPolicy.cpp
+++ b/mesh/WaitPolicy.cpp
@@ -14,15 +14,42 @@
 /// cannot meet its objective any more, or whose objective is close to the run.
 constexpr double EndShare = 0.25;
 
+/// The same while the queue is a burst's: calls that other requests wait for
+/// have short objectives and are still of use a good deal later.
+constexpr double BurstEndShare = 0.4;
+
+/// A queue shorter than this part of the slots is next to none: it is gone
+/// after a third of a mean run.
+constexpr std::uint32_t ShortDivisor = 3;
+
+/// A queue that has not been short for this long stands: longer than most runs
+/// take, so that a burst's is gone by then.
+constexpr auto StandingAfter = std::chrono::milliseconds(800);
+
 Duration part(Duration Whole, double Share) {
   return std::chrono::duration_cast<Duration>(Whole * Share);
 }
 
 } // namespace
 
+void StandingQueue::onArrival(std::uint32_t Rank, std::size_t MustStartFirst,
+                              std::uint32_t Slots, TimePoint Now) {
+  auto Place = this->ShortAt.find(Rank);
+  bool Short = MustStartFirst <= Slots / ShortDivisor;
+  if (Place == this->ShortAt.end() || Short) {
+    this->ShortAt[Rank] = Now;
+  }
+}
+
+bool StandingQueue::stands(std::uint32_t Rank, TimePoint Now) const {
+  auto Place = this->ShortAt.find(Rank);
+  return Place != this->ShortAt.end() && Now - Place->second > StandingAfter;
+}
+
 Duration longestWait(const WaitTerms &Terms) {
   Duration InTime = part(Terms.ToAim - Terms.Run, AimShare);
-  Duration Late = part(Terms.ToEnd - Terms.Run, EndShare);
+  Duration Late =
+      part(Terms.ToEnd - Terms.Run, Terms.Standing ? EndShare : BurstEndShare);
   Duration Longest = std::min(Terms.Allowed, std::max(InTime, Late));
   return std::max(Longest, Duration::zero());
 }
--- a/tests/mesh/WaitPolicyTest.cpp
+++ b/tests/mesh/WaitPolicyTest.cpp
@@ -64,7 +64,10 @@
     ++this->Result.Asked;
     auto Wait = std::chrono::duration_cast<Duration>(
         Run * static_cast<double>(this->Queue.mustStartFirst(0)) / Slots);
-    if (Wait > this->Bound({Patience * 3 / 4, Objective, Patience, Run})) {
+    std::size_t Ahead = this->Queue.mustStartFirst(0);
+    this->Standing.onArrival(0, Ahead, Slots, this->Now);
+    if (Wait > this->Bound({Patience * 3 / 4, Objective, Patience, Run,
+                            this->Standing.stands(0, this->Now)})) {
       ++this->Result.TurnedAway;
       return;
     }
@@ -102,6 +105,7 @@
 
   ServiceTimes Learned;
   AdmissionQueue Queue;
+  StandingQueue Standing;
   std::function<Duration(const WaitTerms &)> Bound;
   std::mt19937_64 Random{20261204};
   std::exponential_distribution<double> Gap;
@@ -141,15 +145,37 @@
   cr_assert_geq(Chosen.InTime, Chosen.Asked * 99 / 100);
 }
 
+/// A burst's queue is gone in a moment, so requests may wait longer in it than
+/// in one that stands.
+Test(WaitPolicy, BurstsAreWorkedOff) {
+  WaitTerms Terms = {Patience * 3 / 4, Objective, Patience, Run, false};
+  Duration Burst = longestWait(Terms);
+  Terms.Standing = true;
+  Duration Lasting = longestWait(Terms);
+  cr_assert(Burst > Lasting);
+  cr_assert(Burst + Run < Patience);
+
+  StandingQueue Queue;
+  TimePoint Now{seconds(5)};
+  Queue.onArrival(1, 0, Slots, Now);
+  Queue.onArrival(1, 30, Slots, Now + milliseconds(10));
+  cr_assert_not(Queue.stands(1, Now + milliseconds(700)));
+  Queue.onArrival(1, 12, Slots, Now + milliseconds(900));
+  cr_assert(Queue.stands(1, Now + milliseconds(900)));
+  cr_assert_not(Queue.stands(0, Now + milliseconds(900)), "another rank");
+  Queue.onArrival(1, 2, Slots, Now + milliseconds(1000));
+  cr_assert_not(Queue.stands(1, Now + milliseconds(1000)));
+}
+
 /// Whoever cannot meet the objective any more still waits a little.
 Test(WaitPolicy, LateRequestsWaitLess) {
-  Duration InTime =
-      longestWait({seconds(9), milliseconds(800), milliseconds(1500), Run});
-  Duration Late =
-      longestWait({seconds(9), milliseconds(-100), milliseconds(1500), Run});
+  Duration InTime = longestWait(
+      {seconds(9), milliseconds(800), milliseconds(1500), Run, true});
+  Duration Late = longestWait(
+      {seconds(9), milliseconds(-100), milliseconds(1500), Run, true});
   cr_assert(Late > Duration::zero() && Late < InTime);
   cr_assert(longestWait({milliseconds(90), milliseconds(800),
-                         milliseconds(1500), Run}) == milliseconds(90));
-  cr_assert(longestWait({seconds(9), milliseconds(-500), milliseconds(100),
-                         Run}) == Duration::zero());
+                         milliseconds(1500), Run, true}) == milliseconds(90));
+  cr_assert(longestWait({seconds(9), milliseconds(-500), milliseconds(100), Run,
+                         true}) == Duration::zero());
 }
