mesh: owners measure what is asked for, and give to several instances at once

An owner measured what it had let in, so six times its capacity looked like twice; it gave to one instance at a time, once a second, and stopped sending requests for keys as soon as it had decided to give them, about half a heartbeat before the backend server heard of it.

Ruled out: more entries for each owner from the start (a map row of tens of KB, sent to every owner at each change).

Change: the demand counts all requests that come, refused ones too; hops carry it; offers go to up to eight instances at once and say which part is taken; keys in a gift are served until 300 ms before the report that lets go of them; an instance that awaits keys answers its backend server's report up to half a second later. OfferBook holds offers and promises.

HotKeysAreSpreadSoon replays hot keys of three times an owner's capacity: spread over five owners within four seconds.

--- a/mesh/Gate.cpp
+++ b/mesh/Gate.cpp
@@ -21,6 +21,10 @@
 /// The busy share fades with this time constant, in seconds.
 constexpr double BusyFade = 1.0;
 
+/// The demand fades with this time constant, in seconds: short enough to see
+/// within a second that a key has become hot.
+constexpr double DemandFade = 1.0;
+
 /// A backend server stops at its deadline and says so; its word is awaited
 /// this much longer.
 constexpr auto LastWordSlack = std::chrono::milliseconds(60);
@@ -118,6 +122,7 @@
 
   this->Queue.setCapacity(
       std::max<std::uint32_t>(this->Server.report().Slots, 1));
+  this->noteDemand(Terms, BootClock::now());
   Duration Wait = this->expectedWait(Terms.Rank);
   TimePoint Now = BootClock::now();
   this->Standing.onArrival(Terms.Rank, this->Queue.mustStartFirst(Terms.Rank),
@@ -152,9 +157,6 @@
     this->MeanSeconds += MeanWeight * (Seconds - this->MeanSeconds);
     this->Counters.onServerRun(Held);
   }
-  if (Terms.Key) {
-    this->Keys.recordLoad(*Terms.Key, Held, Now);
-  }
   this->applyVerdicts();
   Result.Load = this->load();
   return Result;
@@ -268,6 +270,7 @@
   Load.Running = static_cast<std::uint32_t>(this->Queue.running());
   Load.Waiting = static_cast<std::uint32_t>(this->Queue.waiting());
   Load.Slots = this->Queue.limit();
+  Load.Wanted = this->demand(BootClock::now()) / this->Queue.limit();
   Load.Mean = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(this->MeanSeconds));
   return Load;
@@ -283,9 +286,30 @@
   this->BusyAt = Now;
 }
 
-double Gate::busyShare(TimePoint Now) {
+void Gate::noteDemand(const TryTerms &Terms, TimePoint Now) {
+  Duration Run = this->Learned.expected(Terms.RouteName);
+  double Seconds = Run > Duration::zero()
+                       ? std::chrono::duration<double>(Run).count()
+                       : this->MeanSeconds;
+  this->Demand = this->demand(Now) + Seconds / DemandFade;
+  this->DemandAt = Now;
+  if (Terms.Key) {
+    this->Keys.recordLoad(*Terms.Key,
+                          std::chrono::duration_cast<Duration>(
+                              std::chrono::duration<double>(Seconds)),
+                          Now);
+  }
+}
+
+double Gate::demand(TimePoint Now) const {
+  double Age = std::chrono::duration<double>(Now - this->DemandAt).count();
+  return this->Demand * std::exp(-std::max(Age, 0.0) / DemandFade);
+}
+
+double Gate::wantedShare(TimePoint Now) {
   this->noteBusy(Now);
-  return this->Busy;
+  double Wanted = this->demand(Now) / this->Queue.limit();
+  return std::max(Wanted, std::min(this->Busy, 1.0));
 }
 
 } // namespace hemlockspar
--- a/mesh/Gate.h
+++ b/mesh/Gate.h
@@ -28,8 +28,10 @@
 
   ServerLoad load() const;
 
-  /// Share of the slots that are busy, smoothed; above 1 when requests wait.
-  double busyShare(TimePoint Now);
+  /// Share of the slots that all requests that come would keep busy, smoothed,
+  /// those that are refused among them; above 1 when they are more than the
+  /// backend server can do.
+  double wantedShare(TimePoint Now);
 
   /// Refuses requests that cannot be answered in time any more.
   void expireWaiting();
@@ -50,6 +52,8 @@
                      const boost::asio::yield_context &Yield);
   TryResult judge(ExchangeResult &Exchange, const TryTerms &Terms);
   void noteBusy(TimePoint Now);
+  void noteDemand(const TryTerms &Terms, TimePoint Now);
+  double demand(TimePoint Now) const;
 
   boost::asio::io_context &Io;
   LocalServer &Server;
@@ -70,6 +74,10 @@
   /// Busy share with its fading history.
   double Busy = 0;
   TimePoint BusyAt;
+
+  /// Slots that the requests that come would keep busy, at DemandAt.
+  double Demand = 0;
+  TimePoint DemandAt;
 };
 
 } // namespace hemlockspar
--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
+#include <cmath>
 
 namespace hemlockspar::hop {
 
@@ -10,7 +11,10 @@
 
 constexpr char Header[] = "Hs-Hop";
 constexpr std::size_t TermFields = 9;
-constexpr std::size_t ResultFields = 12;
+constexpr std::size_t ResultFields = 13;
+
+/// Shares go as whole numbers of hundredths.
+constexpr double PerCent = 100;
 
 /// Stands for a field without a value.
 constexpr char NoValue[] = "-";
@@ -72,7 +76,7 @@
   HttpResponse Response =
       Answered ? std::move(Result.Response)
                : HttpResponse(http::status::service_unavailable, 11);
-  ServerLoad Load = Result.Load.value_or(ServerLoad{0, 0, 0, {}});
+  ServerLoad Load = Result.Load.value_or(ServerLoad{0, 0, 0, 0, {}});
 
   Response.set(
       Header,
@@ -81,7 +85,8 @@
                    " ", Load.Running, " ", Load.Waiting, " ", Load.Slots, " ",
                    toMilliseconds(Load.Mean), " ", Result.Configuration, " ",
                    Result.Owner.empty() ? NoValue : Result.Owner, " ",
-                   Result.OwnersKeys.From, " ", Result.OwnersKeys.To));
+                   Result.OwnersKeys.From, " ", Result.OwnersKeys.To, " ",
+                   std::lround(Load.Wanted * PerCent)));
   return Response;
 }
 
@@ -110,6 +115,7 @@
     Result.OwnersKeys = {static_cast<KeyNumber>(numberOf(Fields[10])),
                          static_cast<KeyNumber>(numberOf(Fields[11]))};
   }
+  Load.Wanted = static_cast<double>(numberOf(Fields[12])) / PerCent;
   if (Load.Slots > 0) {
     Result.Load = Load;
   }
--- a/mesh/Ingress.cpp
+++ b/mesh/Ingress.cpp
@@ -302,6 +302,7 @@
   TimePoint Now = BootClock::now();
   if (Result.Load) {
     this->Picker.onLoad(Instance, *Result.Load, Now);
+    this->Events.loadSeen(Instance, Result.Load->Wanted);
   }
   if (Result.Reason == TryReason::Unreachable) {
     this->Picker.onUnreachable(Instance, Now);
--- a/mesh/Ingress.h
+++ b/mesh/Ingress.h
@@ -18,6 +18,10 @@
   /// The view has a key at an instance that does not own it.
   virtual void ownerWrong() = 0;
 
+  /// \p Instance has told that its requests would keep \p Wanted of its slots
+  /// busy.
+  virtual void loadSeen(const InstanceId &Instance, double Wanted) = 0;
+
   /// Another instance has configuration \p Version in force.
   virtual void configurationSeen(std::uint64_t Version) = 0;
 };
--- a/mesh/KeyAccess.h
+++ b/mesh/KeyAccess.h
@@ -16,7 +16,7 @@
   /// owner.
   virtual bool expects(KeyNumber Key) const = 0;
 
-  /// A request for \p Key held a slot for \p Busy.
+  /// A request for \p Key came, let in or not, that takes a slot for \p Busy.
   virtual void recordLoad(KeyNumber Key, Duration Busy, TimePoint Now) = 0;
 };
 
--- a/mesh/KeyKeeper.cpp
+++ b/mesh/KeyKeeper.cpp
@@ -49,12 +49,17 @@
 /// Between two offers of one owner when the first was turned down.
 constexpr auto OfferPause = std::chrono::milliseconds(300);
 
-/// An instance that turned an offer down is left alone this long.
-constexpr auto DeclinePause = std::chrono::milliseconds(1500);
+/// Instances asked at once: a third of a service's requests on a few keys of
+/// one owner has to go to several others.
+constexpr std::size_t MostOffers = 8;
 
-/// Load that was promised counts this long; by then it shows in the measured
-/// load.
-constexpr auto PromiseTime = std::chrono::milliseconds(3000);
+/// An instance takes keys until it is about this busy; above it requests wait.
+constexpr double TakesUpTo = 0.85;
+
+/// While a handover is prepared the keys are served on until this long before
+/// the backend server's next report is due: runs under way end meanwhile, and
+/// it can let go of the keys at once.
+constexpr auto DrainAhead = std::chrono::milliseconds(300);
 
 /// The least difference in load for which keys are taken.
 constexpr double LeastGap = 0.25;
@@ -209,31 +214,9 @@
 
   KeyGrants Answer;
   Answer.HoldTime = std::chrono::milliseconds(toMilliseconds(Hold));
-  for (const OwnedKeys &Entry : Known->Map.ownedBy(this->Instance)) {
-    if (Entry.Holder == this->self() && !this->isGiving(Entry.Keys)) {
+  for (const OwnedKeys &Entry : this->keysNotGiven()) {
+    if (Entry.Holder == this->self()) {
       Answer.Granted.push_back({Entry.Keys, Entry.Token, Entry.Handover});
-      continue;
-    }
-    if (Entry.Holder != this->self()) {
-      continue;
-    }
-    // Part of the entry is being given away.
-    KeySpan Rest = Entry.Keys;
-    for (const Gift &Given : this->Gifts) {
-      if (!Given.Keys.overlaps(Rest)) {
-        continue;
-      }
-      if (Given.Keys.From > Rest.From) {
-        Answer.Granted.push_back(
-            {{Rest.From, Given.Keys.From - 1}, Entry.Token, Entry.Handover});
-      }
-      Rest.From = Given.Keys.To + 1;
-      if (Rest.From > Rest.To) {
-        break;
-      }
-    }
-    if (Rest.From <= Rest.To) {
-      Answer.Granted.push_back({Rest, Entry.Token, Entry.Handover});
     }
   }
 
@@ -249,7 +232,11 @@
   bool Held = std::any_of(
       this->Granted.begin(), this->Granted.end(),
       [&](const GrantedKeys &Keys) { return Keys.Keys.contains(Key); });
-  return Held && Now < this->GrantedUntil && !this->isGiving({Key, Key});
+  bool Draining = std::any_of(
+      this->Gifts.begin(), this->Gifts.end(), [&](const Gift &Given) {
+        return Given.Keys.contains(Key) && Now >= Given.ServedUntil;
+      });
+  return Held && Now < this->GrantedUntil && !Draining;
 }
 
 bool KeyKeeper::expects(KeyNumber Key) const {
@@ -372,7 +359,7 @@
       continue;
     }
     if (Own) {
-      Found.push_back({this->self(), this->OwnLoad});
+      Found.push_back({this->self(), this->loadLeft(Now)});
       continue;
     }
 
@@ -531,76 +518,134 @@
     this->planLeaving(Now);
     return;
   }
-  bool Free = this->Gifts.empty() && this->OfferedTo.empty() &&
-              Now >= this->NextGiftAt && this->LeasesAt;
+  bool Free =
+      !this->Offers.waiting() && Now >= this->NextGiftAt && this->LeasesAt;
   if (!Free) {
     return;
   }
 
-  std::erase_if(this->Declined,
-                [&](const auto &Entry) { return Now >= Entry.second; });
-  std::set<InstanceId> LeftAlone;
-  for (const auto &[Name, Until] : this->Declined) {
-    LeftAlone.insert(Name);
+  std::set<InstanceId> LeftAlone = this->Offers.leftAlone(Now);
+  for (const Gift &Given : this->Gifts) {
+    LeftAlone.insert(Given.To.Instance);
   }
-  auto Receiver = chooseReceiver(this->map()->Map, this->self(),
-                                 this->members(true, Now), LeftAlone);
-  if (Receiver) {
-    this->OfferedTo = Receiver->Instance;
+  std::vector<KeyMember> All = this->members(true, Now);
+  double Left = this->loadLeft(Now);
+
+  for (std::size_t Count = 0; Count < MostOffers; ++Count) {
+    auto Choice =
+        chooseReceiver(this->map()->Map, this->self(), All, LeftAlone, Left);
+    if (!Choice) {
+      return;
+    }
+    const InstanceId &Receiver = Choice->Holder.Instance;
+    LeftAlone.insert(Receiver);
+    this->Offers.ask(Receiver);
     this->NextGiftAt = Now + OfferPause;
-    this->Actions.offer(Receiver->Instance, this->OwnLoad);
+    this->Actions.offer(Receiver, Left);
+    Left -= partFor(Left, Choice->Load);
   }
 }
 
-double KeyKeeper::expectedLoad(TimePoint Now) const {
-  return this->OwnLoad + (Now < this->PromisedUntil ? this->Promised : 0);
+double KeyKeeper::loadLeft(TimePoint Now) const {
+  return std::max(this->OwnLoad - this->Offers.given(Now), 0.0);
+}
+
+double KeyKeeper::partFor(double GiverLoad, double Load) {
+  double Half = std::max(GiverLoad - Load, LeastGap) / 2;
+  return std::min(Half, std::max(TakesUpTo - Load, LeastGap / 2));
 }
 
 OfferAnswer KeyKeeper::onOffer(double GiverLoad, TimePoint Now) {
-  double Load = this->expectedLoad(Now);
+  double Load = this->OwnLoad + this->Offers.promised(Now);
   const MeshView::VersionedKeyMap *Known = this->map();
-  bool Empty = Known && Known->Map.countOf(this->Instance) == 0 &&
-               Now >= this->PromisedUntil;
+  std::uint32_t Held = Known ? Known->Map.countOf(this->Instance) : 0;
+  bool Empty = Known && Held == 0 && this->Offers.promised(Now) == 0;
   bool Able = this->Reported && !this->Leaving && !this->Refused &&
               this->mayAct(Now) && this->Gifts.empty();
   bool Wanted = Empty || GiverLoad - Load >= LeastGap;
   if (!Able || !Wanted) {
-    return {false, Load};
+    return {false, Load, 0};
   }
 
-  bool Fresh = Now >= this->PromisedUntil;
-  this->Promised =
-      (Fresh ? 0 : this->Promised) + std::max(GiverLoad - Load, LeastGap) / 2;
-  this->PromisedUntil = Now + PromiseTime;
-  return {true, Load};
+  double Part = partFor(GiverLoad, Load);
+  this->Offers.promise(Part, Held, Now);
+  return {true, Load, Part};
 }
 
 void KeyKeeper::onOfferAnswer(const InstanceId &Receiver,
                               const std::optional<OfferAnswer> &Answer,
                               TimePoint Now) {
-  this->OfferedTo.clear();
-  auto Seen = this->Leases.find(Receiver);
-  if (Answer && Seen != this->Leases.end()) {
-    // Its own word is newer than its lease.
-    Seen->second.Row.Load = Answer->Load;
+  this->Offers.answered(Receiver);
+  if (Answer) {
+    this->onLoadSeen(Receiver, Answer->Load);
   }
   const InstanceRow *Row = this->View.findInstance(Receiver);
-  bool Taken = Answer && Answer->Taken && Row && this->map() &&
-               this->Gifts.empty() && !this->Leaving;
-  if (!Taken) {
-    this->Declined[Receiver] = Now + DeclinePause;
-    return;
+  bool Taken = Answer && Answer->Taken && Row && this->map() && !this->Leaving;
+  if (!Taken || !this->tryGive(*Row, Answer->Part, Now)) {
+    this->Offers.declined(Receiver, Now);
   }
+}
 
-  bool Empty = this->map()->Map.countOf(Receiver) == 0;
-  auto Part = choosePart(this->map()->Map, this->self(), this->OwnLoad,
-                         Answer->Load, Empty, this->Loads, Now);
-  if (!Part) {
-    this->Declined[Receiver] = Now + DeclinePause;
-    return;
+void KeyKeeper::onLoadSeen(const InstanceId &Other, double Load) {
+  auto Seen = this->Leases.find(Other);
+  if (Seen != this->Leases.end()) {
+    // Its own word is newer than its lease.
+    Seen->second.Row.Load = Load;
+  }
+}
+
+bool KeyKeeper::tryGive(const InstanceRow &Receiver, double Part,
+                        TimePoint Now) {
+  std::vector<OwnedKeys> Free = this->keysNotGiven();
+  double Total = this->loadOf(Free, Now);
+  double Left = this->loadLeft(Now);
+  double Slots = std::max<double>(this->Report.Slots, 1);
+  bool Empty = this->map()->Map.countOf(Receiver.Instance) == 0;
+
+  auto Keys = Empty ? halfOf(Free, this->Loads, Now)
+                    : choosePart(Free, Part * Receiver.Slots / Slots, Left,
+                                 this->Loads, Now);
+  if (!Keys) {
+    return false;
   }
-  this->begin({*Part, {Receiver, Row->Run}}, Now);
+  double Share = Total > 0 ? this->Loads.within(*Keys, Now) / Total : 0;
+  this->Offers.give(Left * Share, Now);
+  this->begin({*Keys, {Receiver.Instance, Receiver.Run}}, Now);
   this->Loads.prune(Now);
+  return true;
+}
+
+std::vector<OwnedKeys> KeyKeeper::keysNotGiven() const {
+  std::vector<OwnedKeys> Free;
+  for (const OwnedKeys &Entry : this->map()->Map.ownedBy(this->Instance)) {
+    // Gifts are in the order of their keys.
+    KeySpan Rest = Entry.Keys;
+    for (const Gift &Given : this->Gifts) {
+      if (Rest.From > Rest.To || !Given.Keys.overlaps(Rest)) {
+        continue;
+      }
+      if (Given.Keys.From > Rest.From) {
+        Free.push_back({{Rest.From, Given.Keys.From - 1},
+                        Entry.Holder,
+                        Entry.Token,
+                        Entry.Handover});
+      }
+      Rest.From = Given.Keys.To + 1;
+    }
+    if (Rest.From <= Rest.To) {
+      Free.push_back({Rest, Entry.Holder, Entry.Token, Entry.Handover});
+    }
+  }
+  return Free;
+}
+
+double KeyKeeper::loadOf(const std::vector<OwnedKeys> &Entries,
+                         TimePoint Now) const {
+  double Load = 0;
+  for (const OwnedKeys &Entry : Entries) {
+    Load += this->Loads.within(Entry.Keys, Now);
+  }
+  return Load;
 }
 
 void KeyKeeper::planLeaving(TimePoint Now) {
@@ -622,8 +667,14 @@
 
 void KeyKeeper::begin(const PlannedGift &Planned, TimePoint Now) {
   this->NextGiftAt = Now + GiftPause;
-  this->Gifts.push_back(
-      {Planned.Keys, Planned.To, Now, this->HoldEnd, {}, false});
+  TimePoint ReportDue = this->ReportedAt + this->Bounds.Heartbeat;
+  this->Gifts.push_back({Planned.Keys,
+                         Planned.To,
+                         Now,
+                         ReportDue - DrainAhead,
+                         this->HoldEnd,
+                         {},
+                         false});
   std::sort(this->Gifts.begin(), this->Gifts.end(),
             [](const Gift &First, const Gift &Second) {
               return First.Keys < Second.Keys;
--- a/mesh/KeyKeeper.h
+++ b/mesh/KeyKeeper.h
@@ -3,6 +3,7 @@
 #include "mesh/KeyAccess.h"
 #include "mesh/KeyPlanner.h"
 #include "mesh/MeshView.h"
+#include "mesh/OfferBook.h"
 #include "mesh/OwnLease.h"
 
 #include <deque>
@@ -32,6 +33,9 @@
 
   /// Its load, with what it has been promised.
   double Load = 0;
+
+  /// The load that it takes.
+  double Part = 0;
 };
 
 /// What the keeper asks its surroundings to do. Nothing of it may call back
@@ -108,6 +112,16 @@
   void onOfferAnswer(const InstanceId &Receiver,
                      const std::optional<OfferAnswer> &Answer, TimePoint Now);
 
+  /// \p Other has told its load.
+  void onLoadSeen(const InstanceId &Other, double Load);
+
+  /// Whether keys that others promised are still to come: the next report is
+  /// then better answered a little later.
+  bool awaitsKeys(TimePoint Now) const {
+    return this->map() &&
+           this->Offers.awaits(this->map()->Map.countOf(this->Instance), Now);
+  }
+
   /// A request could not reach the instance that owns its key.
   void suspectOwners() { this->LeasesWanted = true; }
 
@@ -131,12 +145,13 @@
     return this->Granted.empty() || Now >= this->GrantedUntil;
   }
 
-  /// A request for \p Key held a slot for \p Busy.
+  /// A request for \p Key came that takes a slot for \p Busy.
   void recordLoad(KeyNumber Key, Duration Busy, TimePoint Now) override {
     this->Loads.record(Key, Busy, Now);
   }
 
-  /// Share of the slots that are busy; above 1 when requests wait.
+  /// Share of the slots that the requests that come keep busy; above 1 when
+  /// they are more than can be served.
   void setLoad(double Busy) { this->OwnLoad = Busy; }
 
   /// How long a grant lasts at most.
@@ -149,6 +164,9 @@
     KeyHolder To;
     TimePoint Since;
 
+    /// The backend server is sent requests for them until then.
+    TimePoint ServedUntil;
+
     /// The backend server cannot hold them any more from then on.
     TimePoint HoldEnd;
     std::vector<ReleasedKeys> Released;
@@ -187,7 +205,11 @@
   static bool hasLetGo(const Gift &Given, TimePoint Now);
   void dropStaleGifts(TimePoint Now);
 
-  double expectedLoad(TimePoint Now) const;
+  double loadLeft(TimePoint Now) const;
+  static double partFor(double GiverLoad, double Load);
+  bool tryGive(const InstanceRow &Receiver, double Part, TimePoint Now);
+  std::vector<OwnedKeys> keysNotGiven() const;
+  double loadOf(const std::vector<OwnedKeys> &Entries, TimePoint Now) const;
   std::vector<KeyMember> members(bool WithSelf, TimePoint Now) const;
   std::vector<KeySpan> lostKeys(const KeyMap &Map,
                                 TableTransaction &Write) const;
@@ -240,15 +262,7 @@
   KeyLoads Loads;
   double OwnLoad = 0;
 
-  /// The instance to which keys are offered; empty when none are.
-  InstanceId OfferedTo;
-
-  /// Who turned an offer down, and until when it is left alone.
-  std::map<InstanceId, TimePoint> Declined;
-
-  /// Load that others have promised, and until when it counts.
-  double Promised = 0;
-  TimePoint PromisedUntil;
+  OfferBook Offers;
 };
 
 } // namespace hemlockspar
--- a/mesh/KeyPlanner.cpp
+++ b/mesh/KeyPlanner.cpp
@@ -23,7 +23,7 @@
 constexpr double LargestShare = 0.5;
 
 /// Entries that one owner may have; its answer to a report has to stay small.
-constexpr std::size_t MostEntries = 24;
+constexpr std::size_t MostEntries = 40;
 
 /// Owners that offer keys to a backend server that has joined.
 constexpr std::size_t GiversPerJoiner = 2;
@@ -44,22 +44,6 @@
   return Best;
 }
 
-/// About half of what \p Owned carries: by load when there is any, by count
-/// otherwise.
-std::optional<KeySpan> halfOf(const std::vector<OwnedKeys> &Owned,
-                              const KeyLoads &Loads, TimePoint Now) {
-  const OwnedKeys *Entry = busiest(Owned, Loads, Now);
-  if (!Entry || Entry->Keys.size() < 2 * SmallestPart) {
-    return std::nullopt;
-  }
-
-  double Load = Loads.within(Entry->Keys, Now);
-  auto Part = Loads.cutOff(Entry->Keys, Load / 2, false, Now);
-  bool Usable = Load > 0 && Part && Part->size() >= SmallestPart;
-  KeyNumber Middle = Entry->Keys.From + Entry->Keys.size() / 2;
-  return Usable ? *Part : KeySpan{Middle, Entry->Keys.To};
-}
-
 } // namespace
 
 KeyMap firstLayout(const std::vector<KeyMember> &Members) {
@@ -120,73 +104,76 @@
   return Gifts;
 }
 
-std::optional<KeyHolder> chooseReceiver(const KeyMap &Map,
+std::optional<KeyMember> chooseReceiver(const KeyMap &Map,
                                         const KeyHolder &Self,
                                         const std::vector<KeyMember> &Members,
-                                        const std::set<InstanceId> &Declined) {
+                                        const std::set<InstanceId> &LeftAlone,
+                                        double OwnLoad) {
   std::uint32_t OwnKeys = Map.countOf(Self.Instance);
-  const KeyMember *Own = nullptr;
   const KeyMember *Joiner = nullptr;
   const KeyMember *Least = nullptr;
+  std::size_t Ahead = 0;
 
   for (const KeyMember &Member : Members) {
     if (Member.Holder.Instance == Self.Instance) {
-      Own = &Member;
       continue;
     }
-    if (Declined.contains(Member.Holder.Instance)) {
+    std::uint32_t Keys = Map.countOf(Member.Holder.Instance);
+    bool Busier =
+        Member.Load > OwnLoad || (Member.Load == OwnLoad && Keys > OwnKeys);
+    Ahead += Busier && Keys > 0 ? 1 : 0;
+    if (LeftAlone.contains(Member.Holder.Instance)) {
       continue;
     }
-    bool Empty = Map.countOf(Member.Holder.Instance) == 0;
-    Joiner = Empty && !Joiner ? &Member : Joiner;
+    Joiner = Keys == 0 && !Joiner ? &Member : Joiner;
     Least = !Least || Member.Load < Least->Load ? &Member : Least;
   }
-  if (!Own || OwnKeys == 0) {
+  if (OwnKeys == 0) {
     return std::nullopt;
   }
-
-  if (Joiner) {
-    std::size_t Ahead = 0;
-    for (const KeyMember &Member : Members) {
-      std::uint32_t Keys = Map.countOf(Member.Holder.Instance);
-      bool Busier = Member.Load > Own->Load ||
-                    (Member.Load == Own->Load && Keys > OwnKeys);
-      Ahead += Busier && Keys > 0 ? 1 : 0;
-    }
-    if (Ahead < GiversPerJoiner) {
-      return Joiner->Holder;
-    }
+  if (Joiner && Ahead < GiversPerJoiner) {
+    return *Joiner;
   }
 
-  bool Gap = Least && Own->Load >= BusyEnough &&
-             Own->Load - Least->Load >= WorthwhileGap;
-  return Gap ? std::optional(Least->Holder) : std::nullopt;
+  bool Gap =
+      Least && OwnLoad >= BusyEnough && OwnLoad - Least->Load >= WorthwhileGap;
+  return Gap ? std::optional(*Least) : std::nullopt;
 }
 
-std::optional<KeySpan> choosePart(const KeyMap &Map, const KeyHolder &Self,
-                                  double SelfLoad, double ReceiverLoad,
-                                  bool ReceiverEmpty, const KeyLoads &Own,
-                                  TimePoint Now) {
-  std::vector<OwnedKeys> Owned = Map.ownedBy(Self.Instance);
-  if (ReceiverEmpty) {
-    return halfOf(Owned, Own, Now);
+std::optional<KeySpan> halfOf(const std::vector<OwnedKeys> &Owned,
+                              const KeyLoads &Loads, TimePoint Now) {
+  const OwnedKeys *Entry = busiest(Owned, Loads, Now);
+  if (!Entry || Entry->Keys.size() < 2 * SmallestPart) {
+    return std::nullopt;
   }
 
-  double Gap = SelfLoad - ReceiverLoad;
-  double Total = Own.total(Now);
-  const OwnedKeys *Entry = busiest(Owned, Own, Now);
-  bool Worthwhile = SelfLoad >= BusyEnough && Gap >= WorthwhileGap &&
-                    Total > 0 && Entry && Owned.size() < MostEntries;
+  double Load = Loads.within(Entry->Keys, Now);
+  auto Part = Loads.cutOff(Entry->Keys, Load / 2, false, Now);
+  bool Usable = Load > 0 && Part && Part->size() >= SmallestPart;
+  KeyNumber Middle = Entry->Keys.From + Entry->Keys.size() / 2;
+  return Usable ? *Part : KeySpan{Middle, Entry->Keys.To};
+}
+
+std::optional<KeySpan> choosePart(const std::vector<OwnedKeys> &Owned,
+                                  double Part, double OwnLoad,
+                                  const KeyLoads &Loads, TimePoint Now) {
+  double Total = 0;
+  for (const OwnedKeys &Entry : Owned) {
+    Total += Loads.within(Entry.Keys, Now);
+  }
+  const OwnedKeys *Entry = busiest(Owned, Loads, Now);
+  bool Worthwhile =
+      Total > 0 && OwnLoad > 0 && Entry && Owned.size() < MostEntries;
   if (!Worthwhile) {
     return std::nullopt;
   }
 
-  double Load = Total * std::min(Gap / 2 / SelfLoad, LargestShare);
-  auto Part = Own.cutOff(Entry->Keys, Load, false, Now);
-  if (!Part || Part->size() < SmallestPart) {
-    Part = Own.cutOff(Entry->Keys, Load, true, Now);
+  double Load = Total * std::min(Part / OwnLoad, LargestShare);
+  auto Keys = Loads.cutOff(Entry->Keys, Load, false, Now);
+  if (!Keys || Keys->size() < SmallestPart) {
+    Keys = Loads.cutOff(Entry->Keys, Load, true, Now);
   }
-  return Part;
+  return Keys;
 }
 
 } // namespace hemlockspar
--- a/mesh/KeyPlanner.h
+++ b/mesh/KeyPlanner.h
@@ -37,17 +37,23 @@
 /// loads: a backend server that has joined and owns nothing (the most loaded
 /// owners offer it a part), and hot keys that keep one owner much busier than
 /// another. \p Members holds Self, with the loads of all as far as known;
-/// those in \p Declined have just turned an offer down.
-std::optional<KeyHolder> chooseReceiver(const KeyMap &Map,
+/// those in \p LeftAlone are not asked now. \p OwnLoad is what will be left of
+/// Self's load.
+std::optional<KeyMember> chooseReceiver(const KeyMap &Map,
                                         const KeyHolder &Self,
                                         const std::vector<KeyMember> &Members,
-                                        const std::set<InstanceId> &Declined);
-
-/// Which keys of \p Self go to a receiver whose load is \p ReceiverLoad, given
-/// the own load; nothing when no part is worth moving.
-std::optional<KeySpan> choosePart(const KeyMap &Map, const KeyHolder &Self,
-                                  double SelfLoad, double ReceiverLoad,
-                                  bool ReceiverEmpty, const KeyLoads &Own,
-                                  TimePoint Now);
+                                        const std::set<InstanceId> &LeftAlone,
+                                        double OwnLoad);
+
+/// Which of the keys \p Owned go to a receiver that takes \p Part of the
+/// giver's load \p OwnLoad; nothing when no part is worth moving.
+std::optional<KeySpan> choosePart(const std::vector<OwnedKeys> &Owned,
+                                  double Part, double OwnLoad,
+                                  const KeyLoads &Loads, TimePoint Now);
+
+/// About half of what \p Owned carries, for an instance that has nothing: by
+/// load when there is any, by count otherwise.
+std::optional<KeySpan> halfOf(const std::vector<OwnedKeys> &Owned,
+                              const KeyLoads &Loads, TimePoint Now);
 
 } // namespace hemlockspar
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -83,6 +83,9 @@
     this->Sync.refreshKeys();
   }
   void ownerWrong() override { this->Sync.refreshKeys(); }
+  void loadSeen(const InstanceId &Instance, double Wanted) override {
+    this->Keeper.onLoadSeen(Instance, Wanted);
+  }
   void configurationSeen(std::uint64_t Version) override {
     this->Sync.onConfigurationSeen(Version);
   }
@@ -307,7 +310,7 @@
   }
   if (this->isKeyed()) {
     this->Sync.followKeys();
-    this->Keeper.setLoad(this->Way.busyShare(Now));
+    this->Keeper.setLoad(this->Way.wantedShare(Now));
     this->Keeper.tick(Now);
   }
   this->Ticker.expires_after(KeeperTick);
--- a/mesh/OfferCalls.cpp
+++ b/mesh/OfferCalls.cpp
@@ -12,8 +12,10 @@
 namespace {
 
 /// On a call: the giver's load. On an answer: whether the offer is taken, and
-/// the receiver's load.
+/// the
+/// receiver's load and the part that it takes.
 constexpr char Header[] = "Hs-Offer";
+constexpr std::size_t AnswerFields = 3;
 
 /// There and back between regions, with a new connection.
 constexpr auto OfferTimeout = std::chrono::milliseconds(400);
@@ -39,9 +41,14 @@
   }
   std::vector<std::string> Fields =
       absl::StrSplit(headerOf(Exchange.Response, Header), ' ');
-  auto Load = Fields.size() == 2 ? numberOf(Fields[1]) : std::nullopt;
-  return Load ? std::optional(OfferAnswer{Fields[0] == "1", *Load})
-              : std::nullopt;
+  if (Fields.size() != AnswerFields) {
+    return std::nullopt;
+  }
+  auto Load = numberOf(Fields[1]);
+  auto Part = numberOf(Fields[2]);
+  return Load && Part
+             ? std::optional(OfferAnswer{Fields[0] == "1", *Load, *Part})
+             : std::nullopt;
 }
 
 } // namespace
@@ -72,7 +79,8 @@
 
 HttpResponse OfferCalls::writeAnswer(const OfferAnswer &Answer) {
   HttpResponse Response(http::status::ok, 11);
-  Response.set(Header, absl::StrCat(Answer.Taken ? 1 : 0, " ", Answer.Load));
+  Response.set(Header, absl::StrCat(Answer.Taken ? 1 : 0, " ", Answer.Load, " ",
+                                    Answer.Part));
   return Response;
 }
 
--- a/mesh/ServerDesk.cpp
+++ b/mesh/ServerDesk.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// A backend server that holds no keys is answered up to this much later, so
-/// that keys on their way here reach it without waiting for its next report.
+/// A backend server that holds no keys, or is to get more, is answered up to
+/// this much later, so that keys on their way here reach it without waiting for
+/// its next report.
 /// It counts an answer as an acknowledgement within a second.
 constexpr auto LongestDelay = std::chrono::milliseconds(500);
 
@@ -92,8 +93,12 @@
   auto Grants = this->Keeper.grant(ReceivedAt, BootClock::now());
   TimePoint Until = ReceivedAt + LongestDelay;
 
-  while (!Report.Leaving && (!Grants || Grants->Granted.empty()) &&
-         BootClock::now() < Until) {
+  auto Waits = [&](TimePoint Now) {
+    bool Nothing = !Grants || Grants->Granted.empty();
+    return !Report.Leaving && Now < Until &&
+           (Nothing || this->Keeper.awaitsKeys(Now));
+  };
+  while (Waits(BootClock::now())) {
     sleepFor(this->Io, DelayStep, Yield);
 
     // A later report may have come meanwhile, whose answer counts.
--- a/mesh/ServerLoad.h
+++ b/mesh/ServerLoad.h
@@ -12,6 +12,10 @@
   std::uint32_t Waiting = 0;
   std::uint32_t Slots = 1;
 
+  /// Share of the slots that all requests that come would keep busy; above 1
+  /// when some are refused.
+  double Wanted = 0;
+
   /// Mean time that a request holds a slot.
   Duration Mean{};
 };
--- a/tests/mesh/HopCodecTest.cpp
+++ b/tests/mesh/HopCodecTest.cpp
@@ -40,7 +40,7 @@
   TryResult Result = tryNotRun(TryReason::NotOwner, milliseconds(40));
   Result.Owner = "sidecar-2";
   Result.OwnersKeys = {100, 200};
-  Result.Load = ServerLoad{3, 1, 6, milliseconds(210)};
+  Result.Load = ServerLoad{3, 1, 6, 0.5, milliseconds(210)};
 
   TryResult Read = hop::takeResult(hop::writeResult(std::move(Result)));
   cr_assert(Read.Outcome == RequestOutcome::NotRun);
--- a/tests/mesh/InstancePickerTest.cpp
+++ b/tests/mesh/InstancePickerTest.cpp
@@ -37,7 +37,7 @@
   }
 
   void load(const std::string &Name, std::uint32_t Waiting) {
-    ServerLoad Load = {6, Waiting, 6, milliseconds(250)};
+    ServerLoad Load = {6, Waiting, 6, 1.0, milliseconds(250)};
     Load.Running = Waiting > 0 ? 6 : 0;
     this->Picker.onLoad(Name, Load, this->Now);
   }
--- a/tests/mesh/KeyKeeperPropertyTest.cpp
+++ b/tests/mesh/KeyKeeperPropertyTest.cpp
@@ -143,3 +143,20 @@
   cr_assert_gt(World.heldBy(2), 0);
   cr_assert_gt(Before, 0);
 }
+
+/// The load pattern of hot keys: two hundred neighbouring keys ask for three
+/// times what their owner can do, while the others are next to idle. Within
+/// four seconds no owner is asked for more than it can do and the smallest
+/// part that moves, sixteen of these keys.
+Test(KeyKeeper, HotKeysAreSpreadSoon) {
+  KeyWorld World(7, 5);
+  World.setKeyLoad({0, MaxKey}, 5 * 6 * 0.2 / (MaxKey + 1));
+  cr_assert(World.run(seconds(8)));
+  World.setKeyLoad({1000, 1199}, 18.0 / 200);
+  cr_assert(World.run(seconds(4)), "%s", World.complaint().c_str());
+
+  for (int Who = 0; Who < 5; ++Who) {
+    cr_assert_leq(World.wantedAt(Who), 1.0 + 16 * 18.0 / 200 / 6,
+                  "member %d is asked for %f", Who, World.wantedAt(Who));
+  }
+}
--- a/tests/mesh/KeyPlannerTest.cpp
+++ b/tests/mesh/KeyPlannerTest.cpp
@@ -49,7 +49,8 @@
   Members.push_back(member("new", 0));
 
   auto To = [&](const KeyMember &Self) {
-    return chooseReceiver(Map, Self.Holder, Members, {});
+    auto To = chooseReceiver(Map, Self.Holder, Members, {}, Self.Load);
+    return To ? std::optional(To->Holder) : std::nullopt;
   };
   cr_assert(To(Members[1]) && To(Members[1])->Instance == "new");
   cr_assert(To(Members[2]) && To(Members[2])->Instance == "new");
@@ -60,11 +61,11 @@
 Test(KeyPlanner, SmallGapsMoveNothing) {
   std::vector<KeyMember> Members = {member("a", 0.6), member("b", 0.5)};
   KeyMap Map = firstLayout(Members);
-  cr_assert(!chooseReceiver(Map, Members[0].Holder, Members, {}));
+  cr_assert(!chooseReceiver(Map, Members[0].Holder, Members, {}, 0.6));
 
   Members[0].Load = 0.9;
-  cr_assert(chooseReceiver(Map, Members[0].Holder, Members, {}));
-  cr_assert(!chooseReceiver(Map, Members[0].Holder, Members, {"b"}));
+  cr_assert(chooseReceiver(Map, Members[0].Holder, Members, {}, 0.9));
+  cr_assert(!chooseReceiver(Map, Members[0].Holder, Members, {"b"}, 0.9));
 }
 
 /// The load pattern of a hot key: 35% of the requests on some neighbouring
@@ -79,7 +80,7 @@
     }
   }
 
-  auto Part = choosePart(Map, Members[0].Holder, 1.2, 0.2, false, Loads, Now);
+  auto Part = choosePart(Map.ownedBy("a"), 0.5, 1.2, Loads, Now);
   cr_assert(Part.has_value());
   double Moved = Loads.within(*Part, Now) / Loads.total(Now);
   cr_assert(Moved > 0.25 && Moved < 0.45, "%f", Moved);
--- a/tests/mesh/KeyWorld.cpp
+++ b/tests/mesh/KeyWorld.cpp
@@ -18,6 +18,7 @@
 /// Its clock runs this much slow.
 constexpr double SlowClock = 1.02;
 
+constexpr int SlotsEach = 6;
 constexpr auto TickInterval = milliseconds(100);
 
 /// Keys at which holders are compared: enough to hit each part that is moved.
@@ -114,7 +115,7 @@
     Row.Inner = {"10.0.0.1", 7000};
     Row.Service = "menus";
     Row.Run = this->Server.Run;
-    Row.Slots = 6;
+    Row.Slots = SlotsEach;
     Row.State = !this->Server.Up       ? ServerState::Gone
                 : this->Server.Leaving ? ServerState::Leaving
                                        : ServerState::Ready;
@@ -522,6 +523,7 @@
       }
       if (this->Now >= Member.NextTick) {
         Member.NextTick = this->Now + TickInterval;
+        this->recordKeyLoads(Member);
         Member.Keeper->setLoad(Member.Load);
         Member.Keeper->tick(this->Now);
       }
@@ -562,6 +564,45 @@
   return Count == MaxKey + 1;
 }
 
+void KeyWorld::setKeyLoad(const KeySpan &Keys, double Slots) {
+  for (KeyNumber Key = Keys.From; Key <= Keys.To; ++Key) {
+    this->KeyLoads[Key] = Slots;
+  }
+}
+
+double KeyWorld::wantedAt(int Who) const {
+  double Slots = 0;
+  for (const SimServer::Hold &Held :
+       this->Nodes[static_cast<std::size_t>(Who)]->Server.Holds) {
+    auto End = this->KeyLoads.upper_bound(Held.Keys.To);
+    for (auto Key = this->KeyLoads.lower_bound(Held.Keys.From); Key != End;
+         ++Key) {
+      Slots += Held.LetGoAt ? 0 : Key->second;
+    }
+  }
+  return Slots / SlotsEach;
+}
+
+void KeyWorld::recordKeyLoads(Node &Member) {
+  if (this->KeyLoads.empty()) {
+    return;
+  }
+
+  // Measured loads follow what is asked for with a time constant of a second.
+  double Wanted = this->wantedAt(Member.Number);
+  double Seconds = std::chrono::duration<double>(TickInterval).count();
+  Member.Load += Seconds * (Wanted - Member.Load);
+  for (const SimServer::Hold &Held : Member.Server.Holds) {
+    auto End = this->KeyLoads.upper_bound(Held.Keys.To);
+    for (auto Key = this->KeyLoads.lower_bound(Held.Keys.From); Key != End;
+         ++Key) {
+      auto Busy = std::chrono::duration<double>(Key->second * Seconds);
+      Member.Keeper->recordLoad(
+          Key->first, std::chrono::duration_cast<Duration>(Busy), this->Now);
+    }
+  }
+}
+
 void KeyWorld::setLoad(int Who, double Load) {
   this->Nodes[static_cast<std::size_t>(Who)]->Load = Load;
 }
--- a/tests/mesh/KeyWorld.h
+++ b/tests/mesh/KeyWorld.h
@@ -67,6 +67,13 @@
   /// How busy member \p Who is, from 0 to 1.
   void setLoad(int Who, double Load);
 
+  /// Requests for each key of \p Keys would keep \p Slots busy, wherever it is
+  /// held. Replaces what setLoad says.
+  void setKeyLoad(const KeySpan &Keys, double Slots);
+
+  /// What the keys that member \p Who holds ask for, as a share of its slots.
+  double wantedAt(int Who) const;
+
   const std::string &complaint() const { return this->Complaint; }
 
   /// Times that keys were given on with their state.
@@ -100,6 +107,7 @@
   void followAll();
   void checkHolders();
   Duration storeClock() const;
+  void recordKeyLoads(Node &Member);
   void deliver(Node &Member, std::function<void()> Action);
 
   std::mt19937 Random;
@@ -110,6 +118,7 @@
   RowVersion LastVersion = 0;
   std::vector<std::unique_ptr<Node>> Nodes;
   std::vector<KeyFault> Faults;
+  std::map<KeyNumber, double> KeyLoads;
   std::string Complaint;
   std::map<KeyNumber, FencingToken> Highest;
   int Handovers = 0;
