mesh: how fast an instance is shows against others on the same route

An instance's speed was judged by the mean of all its runs; one that served mostly calls of 99 ms looked eight times as fast as one that served stock checks of 840 ms, and got all the more.

Ruled out: nearness (each region had one or two such instances) and stale loads (in-flight counts alone would spread them).

Change: answers between daemons tell how long the run held a slot; the picker keeps a mean for each route and for each instance the ratio to it.

ShortRequestsMakeNoServerLookFast replays calls beside long requests; it and SlowServersGetLess are new.

--- a/mesh/InstancePicker.cpp
+++ b/mesh/InstancePicker.cpp
@@ -29,6 +29,14 @@
 /// in the same region is tried at once instead, so that it gets its part.
 constexpr double UnknownMean = 0.2;
 
+/// Weights of a new run in a route's mean and in an instance's pace: over some
+/// dozens and some ten runs.
+constexpr double RouteWeight = 0.03;
+constexpr double PaceWeight = 0.1;
+
+/// A run counts as at most this many times slower, or faster, than usual.
+constexpr double MostPace = 6.0;
+
 /// An instance that could not be reached is left alone this long at first, and
 /// twice as long after each failure up to the longest.
 constexpr auto FirstSuspicion = std::chrono::milliseconds(250);
@@ -51,9 +59,13 @@
 
 std::optional<InstanceId>
 InstancePicker::pick(const MeshView &View, const std::string &Service,
+                     const std::string &RouteName,
                      const std::set<InstanceId> &Tried, TimePoint Now) {
   const InstanceRow *Best = nullptr;
   double BestCost = 0;
+  auto Known = this->RouteSeconds.find(RouteName);
+  double Usual =
+      Known == this->RouteSeconds.end() ? UnknownMean : Known->second;
 
   for (const auto &[Name, Row] : View.instances()) {
     bool Fits = Row.Service == Service && Row.State == ServerState::Ready &&
@@ -61,7 +73,7 @@
     if (!Fits) {
       continue;
     }
-    double Cost = this->cost(Row, Now);
+    double Cost = this->cost(Row, Usual, Now);
     if (!Best || Cost < BestCost) {
       Best = &Row;
       BestCost = Cost;
@@ -72,18 +84,21 @@
   }
 
   // While it is not known to answer again, one request at a time finds out.
-  Known &Chosen = this->Instances[Best->Instance];
+  InstancePicker::Known &Chosen = this->Instances[Best->Instance];
   if (Chosen.Failures > 0) {
     Chosen.SuspectUntil = Now + FirstSuspicion;
   }
   return Best->Instance;
 }
 
-double InstancePicker::cost(const InstanceRow &Row, TimePoint Now) {
+double InstancePicker::cost(const InstanceRow &Row, double RouteSeconds,
+                            TimePoint Now) {
   Known &Seen = this->Instances[Row.Instance];
   bool Told = Seen.Load.Mean > Duration::zero();
   bool Near = Row.Region == this->Region;
   double Mean = Told ? seconds(Seen.Load.Mean) : Near ? 0 : UnknownMean;
+  double Pace = Seen.Pace > 0 ? Seen.Pace : 1.0;
+  double Run = Told ? RouteSeconds * Pace : Near ? 0 : RouteSeconds;
   double Slots = std::max<double>(Row.Slots, 1);
 
   double Fade = std::exp(-std::max(seconds(Now - Seen.LoadAt), 0.0) / LoadFade);
@@ -92,13 +107,13 @@
   double Wait = std::max(Ahead + 1 - Slots, 0.0) * Mean / Slots;
 
   // Nearly full backend servers slow down.
-  double Crowding = 0.2 * Mean * std::min(Ahead / Slots, 1.0);
+  double Crowding = 0.2 * Run * std::min(Ahead / Slots, 1.0);
 
   double Travel = Row.DataCenter == this->DataCenter ? SameDataCenter
                   : Near                             ? SameRegion
                          : OtherRegion + OtherRegionSurcharge;
   std::uniform_real_distribution<double> Vary(1.0, 1.0 + Spread);
-  return (Travel + Wait + Mean + Crowding) * Vary(this->Random);
+  return (Travel + Wait + Run + Crowding) * Vary(this->Random);
 }
 
 void InstancePicker::onSent(const InstanceId &Instance) {
@@ -117,6 +132,21 @@
   Seen.LoadAt = Now;
 }
 
+void InstancePicker::onRun(const InstanceId &Instance,
+                           const std::string &RouteName, Duration Run) {
+  double Took = seconds(Run);
+  if (Took <= 0) {
+    return;
+  }
+  double &Usual = this->RouteSeconds.emplace(RouteName, Took).first->second;
+  Usual += RouteWeight * (Took - Usual);
+
+  // One long run says little: runs vary by several times on every route.
+  double Relative = std::clamp(Took / Usual, 1 / MostPace, MostPace);
+  Known &Seen = this->Instances[Instance];
+  Seen.Pace += (Seen.Pace > 0 ? PaceWeight : 1.0) * (Relative - Seen.Pace);
+}
+
 void InstancePicker::onUnreachable(const InstanceId &Instance, TimePoint Now) {
   Known &Seen = this->Instances[Instance];
   auto Pause =
--- a/mesh/InstancePicker.h
+++ b/mesh/InstancePicker.h
@@ -12,17 +12,20 @@
 /// owned: the one that is expected to answer first, with a surcharge for other
 /// regions, whose links are slow and paid by the byte. What is known of a load
 /// comes with answers and fades; an instance that is more loaded than was
-/// thought refuses, and the next one is asked. Instances that cannot be reached
+/// thought refuses, and the next one is asked. How fast an instance is shows in
+/// its runs against those of others on the same route: one that happens to
+/// serve short requests is no faster for it. Instances that cannot be reached
 /// are left out, and tried again one request at a time. Free of I/O.
 class InstancePicker {
 public:
   InstancePicker(std::string Region, std::string DataCenter,
                  std::uint64_t Seed);
 
-  /// The instance for a request of \p Service; none of \p Tried. Nothing when
-  /// there is none.
+  /// The instance for a request of \p Service on the route \p RouteName; none
+  /// of \p Tried. Nothing when there is none.
   std::optional<InstanceId> pick(const MeshView &View,
                                  const std::string &Service,
+                                 const std::string &RouteName,
                                  const std::set<InstanceId> &Tried,
                                  TimePoint Now);
 
@@ -33,6 +36,10 @@
   void onLoad(const InstanceId &Instance, const ServerLoad &Load,
               TimePoint Now);
 
+  /// A request of \p RouteName held a slot of \p Instance for \p Run.
+  void onRun(const InstanceId &Instance, const std::string &RouteName,
+             Duration Run);
+
   /// No connection to \p Instance came about.
   void onUnreachable(const InstanceId &Instance, TimePoint Now);
   void onReached(const InstanceId &Instance);
@@ -49,14 +56,21 @@
     TimePoint SuspectUntil;
     ServerLoad Load;
     TimePoint LoadAt;
+
+    /// Time of its runs over the usual time on their routes; 0 before the
+    /// first.
+    double Pace = 0;
   };
 
-  double cost(const InstanceRow &Row, TimePoint Now);
+  double cost(const InstanceRow &Row, double RouteSeconds, TimePoint Now);
 
   std::string Region;
   std::string DataCenter;
   std::mt19937_64 Random;
   std::map<InstanceId, Known> Instances;
+
+  /// Mean time of a route's runs over all instances, in seconds.
+  std::map<std::string, double> RouteSeconds;
 };
 
 } // namespace hemlockspar
--- a/tests/mesh/InstancePickerTest.cpp
+++ b/tests/mesh/InstancePickerTest.cpp
@@ -43,7 +43,7 @@
   }
 
   std::string pick(const std::set<InstanceId> &Tried = {}) {
-    return this->Picker.pick(this->View, "bookings", Tried, this->Now)
+    return this->Picker.pick(this->View, "bookings", "r-1", Tried, this->Now)
         .value_or("none");
   }
 
@@ -115,3 +115,42 @@
     cr_assert(Box.pick() != "near");
   }
 }
+
+/// The load pattern of short calls beside long requests: the instance that has
+/// served the calls has the shorter runs, and is no faster for it. Both get
+/// about half of either.
+Test(InstancePicker, ShortRequestsMakeNoServerLookFast) {
+  PickerBox Box;
+  for (int Time = 0; Time < 60; ++Time) {
+    Box.Picker.onRun("near", "call", milliseconds(50));
+    Box.Picker.onRun("other", "call", milliseconds(50));
+    Box.Picker.onRun("other", "order", milliseconds(500));
+    Box.Picker.onRun("near", "order", milliseconds(500));
+  }
+  ServerLoad Short = {0, 0, 6, 0, milliseconds(60)};
+  ServerLoad Long = {0, 0, 6, 0, milliseconds(480)};
+  Box.Picker.onLoad("near", Short, Box.Now);
+  Box.Picker.onLoad("other", Long, Box.Now);
+
+  std::map<std::string, int> Chosen;
+  for (int Time = 0; Time < 200; ++Time) {
+    ++Chosen[Box.Picker.pick(Box.View, "bookings", "order", {}, Box.Now)
+                 .value_or("none")];
+  }
+  cr_assert_geq(Chosen["near"], 60);
+  cr_assert_geq(Chosen["other"], 60);
+}
+
+/// A server that takes twice as long on the same routes gets less.
+Test(InstancePicker, SlowServersGetLess) {
+  PickerBox Box;
+  for (int Time = 0; Time < 60; ++Time) {
+    Box.Picker.onRun("near", "r-1", milliseconds(600));
+    Box.Picker.onRun("other", "r-1", milliseconds(300));
+  }
+  int Slow = 0;
+  for (int Time = 0; Time < 100; ++Time) {
+    Slow += Box.pick() == "near" ? 1 : 0;
+  }
+  cr_assert_lt(Slow, 10);
+}
