--- a/core/Log.cpp
+++ b/core/Log.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr int LogBufferLines = 16384;
+constexpr int LogBufferLines = 4096;
 
 log4cxx::LevelPtr toLibraryLevel(LogLevel Level) {
   switch (Level) {
--- a/daemon/SectionReader.h
+++ b/daemon/SectionReader.h
@@ -51,8 +51,8 @@
     Target = *Text;
   }
 
-  void readAddress(const char *Field, Address &Target) {
-    auto Text = this->scalar(Field, true);
+  void readAddress(const char *Field, Address &Target, bool Required = true) {
+    auto Text = this->scalar(Field, Required);
     if (!Text) {
       return;
     }
--- a/mesh/Gate.cpp
+++ b/mesh/Gate.cpp
@@ -153,6 +153,7 @@
   this->noteBusy(Now);
   this->Queue.onFinished(Number, Held, Overloaded, Now);
   if (Result.Outcome == RequestOutcome::Answered) {
+    Result.Run = Held;
     double Seconds = std::chrono::duration<double>(Held).count();
     this->MeanSeconds += MeanWeight * (Seconds - this->MeanSeconds);
     this->Counters.onServerRun(Held);
--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -11,7 +11,7 @@
 
 constexpr char Header[] = "Hs-Hop";
 constexpr std::size_t TermFields = 9;
-constexpr std::size_t ResultFields = 13;
+constexpr std::size_t ResultFields = 17;
 
 /// Shares go as whole numbers of hundredths.
 constexpr double PerCent = 100;
@@ -86,7 +86,9 @@
                    toMilliseconds(Load.Mean), " ", Result.Configuration, " ",
                    Result.Owner.empty() ? NoValue : Result.Owner, " ",
                    Result.OwnersKeys.From, " ", Result.OwnersKeys.To, " ",
-                   std::lround(Load.Wanted * PerCent)));
+                   std::lround(Load.Wanted * PerCent), " ",
+                   Result.View.Instances, " ", Result.View.Keys, " ",
+                   toMilliseconds(Result.Run), " ", Result.OwnersVersion));
   return Response;
 }
 
@@ -116,6 +118,10 @@
                          static_cast<KeyNumber>(numberOf(Fields[11]))};
   }
   Load.Wanted = static_cast<double>(numberOf(Fields[12])) / PerCent;
+  Result.View = {static_cast<RowVersion>(numberOf(Fields[13])),
+                 static_cast<RowVersion>(numberOf(Fields[14]))};
+  Result.Run = spanOf(Fields[15]);
+  Result.OwnersVersion = static_cast<RowVersion>(numberOf(Fields[16]));
   if (Load.Slots > 0) {
     Result.Load = Load;
   }
--- a/mesh/Ingress.cpp
+++ b/mesh/Ingress.cpp
@@ -226,15 +226,17 @@
 
 std::optional<InstanceId> Ingress::choose(Journey &Way, TimePoint Now) {
   if (!Way.Keyed) {
-    return this->Picker.pick(this->View, Way.Terms.Service, Way.Tried, Now);
+    return this->Picker.pick(this->View, Way.Terms.Service, Way.Terms.RouteName,
+                             Way.Tried, Now);
   }
 
   InstanceId Owner = this->ownerOf(Way.Terms.Service, *Way.Terms.Key);
   if (Owner.empty()) {
-    this->Events.ownerWrong();
+    this->Events.ownerWrong(Way.Terms.Service);
 
     // Any owner of other keys knows whose this one is.
-    return this->Picker.pick(this->View, Way.Terms.Service, {}, Now);
+    return this->Picker.pick(this->View, Way.Terms.Service, Way.Terms.RouteName,
+                             {}, Now);
   }
   bool Usable =
       this->View.findInstance(Owner) && !this->Picker.isSuspect(Owner, Now);
@@ -245,7 +247,7 @@
   const MeshView::VersionedKeyMap *Owners = this->View.findKeyMap(Service);
   std::vector<Hint> &Known = this->Hints[Service];
   std::erase_if(Known, [&](const Hint &Told) {
-    return Told.MapVersion != (Owners ? Owners->Version : 0);
+    return Owners && Owners->Version >= Told.MapVersion;
   });
 
   // Whoever owned the key before knows better than an old view.
@@ -258,21 +260,18 @@
 }
 
 void Ingress::takeHint(const TryResult &Result, const Journey &Way) {
-  const MeshView::VersionedKeyMap *Owners =
-      this->View.findKeyMap(Way.Terms.Service);
   bool Useful = !Result.Owner.empty() && Result.Owner != Way.Last;
   if (!Useful) {
-    this->Events.ownerWrong();
+    this->Events.ownerWrong(Way.Terms.Service);
     return;
   }
 
   std::vector<Hint> &Known = this->Hints[Way.Terms.Service];
   if (Known.size() >= MostHints) {
     Known.erase(Known.begin());
-    this->Events.ownerWrong();
+    this->Events.ownerWrong(Way.Terms.Service);
   }
-  Known.push_back(
-      {Result.OwnersKeys, Result.Owner, Owners ? Owners->Version : 0});
+  Known.push_back({Result.OwnersKeys, Result.Owner, Result.OwnersVersion});
 }
 
 Duration Ingress::allowedWait(const Journey &Way, TimePoint Now) const {
@@ -304,10 +303,13 @@
     this->Picker.onLoad(Instance, *Result.Load, Now);
     this->Events.loadSeen(Instance, Result.Load->Wanted);
   }
+  if (Result.Outcome == RequestOutcome::Answered) {
+    this->Picker.onRun(Instance, Way.Terms.RouteName, Result.Run);
+  }
   if (Result.Reason == TryReason::Unreachable) {
     this->Picker.onUnreachable(Instance, Now);
     if (Way.Keyed) {
-      this->Events.ownerUnreachable();
+      this->Events.ownerUnreachable(Way.Terms.Service);
     }
   } else {
     this->Picker.onReached(Instance);
@@ -348,6 +350,7 @@
   eraseHopHeaders(Exchange.Response);
   TryResult Result = hop::takeResult(std::move(Exchange.Response));
   this->Events.configurationSeen(Result.Configuration);
+  this->Events.viewSeen(Result.View, Row.Inner);
   return Result;
 }
 
@@ -478,6 +481,7 @@
       .with("status", Result.Response.result_int())
       .with("ms", toMilliseconds(BootClock::now() - Now));
   Result.Configuration = this->versionInForce();
+  Result.View = this->View.marks();
   if (Terms->Key && Result.Reason == TryReason::NotOwner) {
     this->nameOwner(Result, *Terms);
   }
@@ -494,6 +498,7 @@
   if (Entry.Holder.Instance != this->Config.Instance) {
     Result.Owner = Entry.Holder.Instance;
     Result.OwnersKeys = Entry.Keys;
+    Result.OwnersVersion = Owners->Version;
   }
 }
 
--- a/mesh/Ingress.h
+++ b/mesh/Ingress.h
@@ -13,10 +13,13 @@
   virtual ~IngressEvents() = default;
 
   /// The instance that owns a key cannot be reached.
-  virtual void ownerUnreachable() = 0;
+  virtual void ownerUnreachable(const std::string &Service) = 0;
 
-  /// The view has a key at an instance that does not own it.
-  virtual void ownerWrong() = 0;
+  /// The view has a key of \p Service at an instance that does not own it.
+  virtual void ownerWrong(const std::string &Service) = 0;
+
+  /// The daemon at \p Peer has told how far its view goes.
+  virtual void viewSeen(const ViewMarks &Marks, const Address &Peer) = 0;
 
   /// \p Instance has told that its requests would keep \p Wanted of its slots
   /// busy.
@@ -54,8 +57,8 @@
 private:
   struct Journey;
 
-  /// An owner's word that keys have moved on; good until the map of owners is
-  /// newer than it was.
+  /// An owner's word that keys have moved on; good until the map of owners here
+  /// is as new as the one that it goes by.
   struct Hint {
     KeySpan Keys;
     InstanceId Owner;
--- a/mesh/KeyKeeper.cpp
+++ b/mesh/KeyKeeper.cpp
@@ -104,6 +104,23 @@
   return Next > Keys.To;
 }
 
+/// Who has keys by \p Fresh under tokens that \p Before did not have.
+std::set<InstanceId> newOwners(const KeyMap *Before, const KeyMap &Fresh) {
+  FencingToken Last = 0;
+  for (const OwnedKeys &Entry :
+       Before ? Before->entries() : std::vector<OwnedKeys>()) {
+    Last = std::max(Last, Entry.Token);
+  }
+
+  std::set<InstanceId> Owners;
+  for (const OwnedKeys &Entry : Fresh.entries()) {
+    if (Entry.Token > Last) {
+      Owners.insert(Entry.Holder.Instance);
+    }
+  }
+  return Owners;
+}
+
 bool isSound(const ServerReport &Report) { return !Report.Leaving; }
 
 } // namespace
@@ -198,7 +215,8 @@
   return Now >= Given.HoldEnd || covers(Given.Released, Given.Keys);
 }
 
-std::optional<KeyGrants> KeyKeeper::grant(TimePoint ReceivedAt, TimePoint Now) {
+std::optional<KeyGrants> KeyKeeper::planGrants(TimePoint ReceivedAt,
+                                               TimePoint Now) const {
   const MeshView::VersionedKeyMap *Known = this->map();
   bool Doubtful = this->inDoubt() && this->DoubtfulLoss;
   if (!this->Reported || !Known || Doubtful || !this->mayAct(Now)) {
@@ -219,12 +237,20 @@
       Answer.Granted.push_back({Entry.Keys, Entry.Token, Entry.Handover});
     }
   }
+  return Answer;
+}
+
+std::optional<KeyGrants> KeyKeeper::grant(TimePoint ReceivedAt, TimePoint Now) {
+  auto Answer = this->planGrants(ReceivedAt, Now);
+  if (!Answer) {
+    return std::nullopt;
+  }
 
-  this->Granted = Answer.Granted;
-  this->GrantedUntil = ReceivedAt + Answer.HoldTime;
-  this->HoldEnd =
-      std::max(this->HoldEnd, ReceivedAt + std::chrono::duration_cast<Duration>(
-                                               Answer.HoldTime * SlowestClock));
+  this->Granted = Answer->Granted;
+  this->GrantedUntil = ReceivedAt + Answer->HoldTime;
+  this->HoldEnd = std::max(this->HoldEnd,
+                           ReceivedAt + std::chrono::duration_cast<Duration>(
+                                            Answer->HoldTime * SlowestClock));
   return Answer;
 }
 
@@ -707,6 +733,8 @@
   std::string Key = MeshView::keyMapKey(this->service());
 
   this->Writing = Kind;
+  this->NewOwners = newOwners(Known ? &Known->Map : nullptr, Fresh);
+  this->NewOwners.erase(this->Instance);
   Write.Conditions.push_back({Key, Known ? Known->Version : 0});
   Write.Writes.push_back({Key, Fresh.toText()});
   this->Actions.commitMap(Write);
@@ -759,13 +787,16 @@
     this->Actions.decided(KeyEvent::WriteFailed, nameOf(Commit.Result.Outcome));
     this->WriteRetryAt = Now + WriteRetryPause;
     this->LeasesWanted = this->LeasesWanted || Kind == MapWrite::Takeover;
-    if (Commit.Result.Outcome != CommitOutcome::NotRun) {
+    bool Told = Commit.Result.Outcome == CommitOutcome::Conflict &&
+                !Commit.Current.empty();
+    if (!Told && Commit.Result.Outcome != CommitOutcome::NotRun) {
       this->KeysAskedAt = Now;
       this->Actions.readKeys();
     }
     return;
   }
 
+  this->Actions.tell(this->NewOwners);
   switch (Kind) {
   case MapWrite::FirstLayout:
     this->Actions.decided(KeyEvent::FirstLayout, "");
--- a/mesh/KeyKeeper.h
+++ b/mesh/KeyKeeper.h
@@ -60,6 +60,10 @@
   /// \p Load; its word goes to onOfferAnswer.
   virtual void offer(const InstanceId &Receiver, double Load) = 0;
 
+  /// The map of owners that was just written gives keys to \p Owners, who can
+  /// serve them as soon as they know.
+  virtual void tell(const std::set<InstanceId> &Owners) = 0;
+
   virtual void decided(KeyEvent Event, const std::string &Detail) = 0;
 };
 
@@ -128,8 +132,13 @@
   /// Takes the next step, where one is due. Called often.
   void tick(TimePoint Now);
 
-  /// What to answer a report that came at \p ReceivedAt; nothing while
-  /// nothing may be granted.
+  /// What an answer to a report that came at \p ReceivedAt would be; nothing
+  /// while nothing may be granted.
+  std::optional<KeyGrants> planGrants(TimePoint ReceivedAt,
+                                      TimePoint Now) const;
+
+  /// The same for an answer that goes out now: what it grants is served from
+  /// now on.
   std::optional<KeyGrants> grant(TimePoint ReceivedAt, TimePoint Now);
 
   /// Whether a request for \p Key may be sent to the backend server.
@@ -242,6 +251,9 @@
   std::vector<Gift> Gifts;
   MapWrite Writing = MapWrite::None;
 
+  /// To whom the write that is under way gives keys.
+  std::set<InstanceId> NewOwners;
+
   /// A write that takes keys from here got no answer. It may be done later, as
   /// long as the lease's row has this version.
   std::optional<RowVersion> DoubtfulFrom;
--- a/mesh/KeyMap.cpp
+++ b/mesh/KeyMap.cpp
@@ -3,41 +3,78 @@
 #include "core/Json.h"
 
 #include <algorithm>
+#include <map>
 
 namespace hemlockspar {
 
 namespace {
 
-Json::Value entryToJson(const OwnedKeys &Entry) {
+constexpr unsigned HolderFields = 3;
+
+/// Entries without a state that was left have one field less.
+constexpr unsigned LeastEntryFields = 4;
+constexpr unsigned MostEntryFields = 5;
+
+Json::Value holderToJson(const KeyHolder &Holder) {
+  Json::Value Row(Json::arrayValue);
+  Row.append(Holder.Instance);
+  Row.append(Holder.Run.Id);
+  Row.append(Json::Int64(Holder.Run.StartedAt));
+  return Row;
+}
+
+std::optional<KeyHolder> holderFromJson(const Json::Value &Row) {
+  bool Sound = Row.isArray() && Row.size() == HolderFields &&
+               Row[0].isString() && Row[1].isString() && Row[2].isInt64();
+  if (!Sound) {
+    return std::nullopt;
+  }
+  return KeyHolder{Row[0].asString(), {Row[1].asString(), Row[2].asInt64()}};
+}
+
+Json::Value entryToJson(const OwnedKeys &Entry, unsigned Holder) {
   Json::Value Row(Json::arrayValue);
   Row.append(Entry.Keys.From);
   Row.append(Entry.Keys.To);
-  Row.append(Entry.Holder.Instance);
-  Row.append(Entry.Holder.Run.Id);
-  Row.append(Json::Int64(Entry.Holder.Run.StartedAt));
+  Row.append(Holder);
   Row.append(Json::UInt64(Entry.Token));
-  Row.append(Entry.Handover);
+  if (!Entry.Handover.empty()) {
+    Row.append(Entry.Handover);
+  }
   return Row;
 }
 
-constexpr unsigned EntryFields = 7;
-
-std::optional<OwnedKeys> entryFromJson(const Json::Value &Row) {
-  bool Sound = Row.isArray() && Row.size() == EntryFields && Row[0].isUInt() &&
-               Row[1].isUInt() && Row[2].isString() && Row[3].isString() &&
-               Row[4].isInt64() && Row[5].isUInt64() && Row[6].isString();
+std::optional<OwnedKeys> entryFromJson(const Json::Value &Row,
+                                       const std::vector<KeyHolder> &Holders) {
+  bool Sound = Row.isArray() && Row.size() >= LeastEntryFields &&
+               Row.size() <= MostEntryFields && Row[0].isUInt() &&
+               Row[1].isUInt() && Row[2].isUInt() && Row[3].isUInt64() &&
+               Row[2].asUInt() < Holders.size() &&
+               (Row.size() == LeastEntryFields || Row[4].isString());
   if (!Sound) {
     return std::nullopt;
   }
 
   OwnedKeys Entry;
   Entry.Keys = {Row[0].asUInt(), Row[1].asUInt()};
-  Entry.Holder = {Row[2].asString(), {Row[3].asString(), Row[4].asInt64()}};
-  Entry.Token = Row[5].asUInt64();
-  Entry.Handover = Row[6].asString();
+  Entry.Holder = Holders[Row[2].asUInt()];
+  Entry.Token = Row[3].asUInt64();
+  Entry.Handover = Row.size() == MostEntryFields ? Row[4].asString() : "";
   return Entry;
 }
 
+std::optional<std::vector<KeyHolder>> holdersFromJson(const Json::Value &Rows) {
+  std::vector<KeyHolder> Holders;
+  for (const Json::Value &Row : Rows) {
+    auto Holder = holderFromJson(Row);
+    if (!Holder) {
+      return std::nullopt;
+    }
+    Holders.push_back(std::move(*Holder));
+  }
+  return Holders;
+}
+
 bool joinsOn(const OwnedKeys &First, const OwnedKeys &Next) {
   return First.Holder == Next.Holder && First.Token == Next.Token &&
          First.Handover == Next.Handover;
@@ -126,9 +163,17 @@
 std::string KeyMap::toText() const {
   Json::Value Text;
   Text["token"] = Json::UInt64(this->LastToken);
+  Text["holders"] = Json::Value(Json::arrayValue);
   Text["keys"] = Json::Value(Json::arrayValue);
+
+  // Each holder is named once: the row goes to many at every change.
+  std::map<KeyHolder, unsigned> Numbers;
   for (const OwnedKeys &Entry : this->Entries) {
-    Text["keys"].append(entryToJson(Entry));
+    auto [Place, Fresh] = Numbers.emplace(Entry.Holder, Numbers.size());
+    if (Fresh) {
+      Text["holders"].append(holderToJson(Entry.Holder));
+    }
+    Text["keys"].append(entryToJson(Entry, Place->second));
   }
   return writeJson(Text);
 }
@@ -136,8 +181,9 @@
 std::optional<KeyMap> KeyMap::fromText(const std::string &Text) {
   auto Value = readJson(Text);
   bool Sound = Value && Value->isObject() && (*Value)["keys"].isArray() &&
-               (*Value)["token"].isUInt64();
-  if (!Sound) {
+               (*Value)["holders"].isArray() && (*Value)["token"].isUInt64();
+  auto Holders = Sound ? holdersFromJson((*Value)["holders"]) : std::nullopt;
+  if (!Holders) {
     return std::nullopt;
   }
 
@@ -147,7 +193,7 @@
 
   KeyNumber Next = 0;
   for (const Json::Value &Row : (*Value)["keys"]) {
-    auto Entry = entryFromJson(Row);
+    auto Entry = entryFromJson(Row, *Holders);
     bool Fits = Entry && Entry->Keys.From == Next &&
                 Entry->Keys.To >= Entry->Keys.From &&
                 Entry->Keys.To <= MaxKey && Entry->Token <= Map.LastToken;
--- a/mesh/LocalServer.cpp
+++ b/mesh/LocalServer.cpp
@@ -98,7 +98,7 @@
   Row.Instance = this->Config.Instance;
   Row.Region = this->Config.Region;
   Row.DataCenter = this->Config.DataCenter;
-  Row.Inner = this->Config.Inner;
+  Row.Inner = this->Config.Advertised;
   Row.Service = this->service();
   Row.Run = this->Newest.Run;
   Row.Slots = this->Newest.Slots;
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -4,6 +4,7 @@
 #include "mesh/CountingStore.h"
 #include "mesh/Ingress.h"
 #include "mesh/OfferCalls.h"
+#include "mesh/PeerViews.h"
 #include "mesh/ServerDesk.h"
 #include "mesh/StorePath.h"
 #include "mesh/StoreSync.h"
@@ -55,6 +56,7 @@
 private:
   absl::Status listen();
   void applyConfiguration();
+  void askOwner(const std::string &Service);
   void onServerChanged();
   std::vector<Address> relayPeers() const;
   HttpResponse serveInner(HttpRequest &Request, CallerWatch &Watch,
@@ -75,14 +77,21 @@
   void readLeases() override;
   void readKeys() override;
   void offer(const InstanceId &Receiver, double Load) override;
+  void tell(const std::set<InstanceId> &Owners) override;
   void decided(KeyEvent Event, const std::string &Detail) override;
 
   // IngressEvents
-  void ownerUnreachable() override {
+  void ownerUnreachable(const std::string &Service) override {
     this->Keeper.suspectOwners();
+    this->ownerWrong(Service);
+  }
+  void ownerWrong(const std::string &Service) override {
+    this->askOwner(Service);
     this->Sync.refreshKeys();
   }
-  void ownerWrong() override { this->Sync.refreshKeys(); }
+  void viewSeen(const ViewMarks &Marks, const Address &Peer) override {
+    this->Views.onMarks(Marks, Peer);
+  }
   void loadSeen(const InstanceId &Instance, double Wanted) override {
     this->Keeper.onLoadSeen(Instance, Wanted);
   }
@@ -100,6 +109,7 @@
   StorePath Path;
   std::unique_ptr<Store> Rows;
   StoreSync Sync;
+  PeerViews Views;
   LocalServer Server;
   OfferCalls Offers;
   KeyKeeper Keeper;
@@ -119,6 +129,9 @@
   std::optional<TimePoint> StoppingSince;
   TimePoint BusyAt;
   bool Drained = false;
+
+  /// Counts the daemons that were asked for news, to ask each in turn.
+  std::size_t NextAsked = 0;
 };
 
 HttpLimits limitsOf(const MeshSettings &Config) {
@@ -134,7 +147,8 @@
                   [this] { return this->relayPeers(); }),
       Rows(std::make_unique<CountingStore>(Adapters.MakeStore(Io, Path),
                                            Counters)),
-      Sync(Io, *Rows, View, *Adapters.Configurations), Server(Config, View),
+      Sync(Io, *Rows, View, *Adapters.Configurations, Config),
+      Views(Io, View, Config.Inner.Host), Server(Config, View),
       Offers(Io, Config.Inner.Host),
       Keeper(Config.Instance, chooseProcessNumber(),
              {Config.Heartbeat, Config.LongestHold}, View, *this,
@@ -264,6 +278,9 @@
   if (StorePath::isRelayCall(Request)) {
     return this->Path.relay(Request, Yield);
   }
+  if (auto Told = this->Views.serve(Request)) {
+    return std::move(*Told);
+  }
   if (auto Load = OfferCalls::readOffer(Request)) {
     return OfferCalls::writeAnswer(
         this->Keeper.onOffer(*Load, BootClock::now()));
@@ -411,6 +428,10 @@
       StoreRows Written;
       Written.Rows = writtenRows(Write, Commit.Result.Version).Rows;
       this->View.apply(Written);
+    } else if (!Commit.Current.empty()) {
+      StoreRows Current;
+      Current.Rows = Commit.Current;
+      this->View.apply(Current);
     }
     this->Keeper.onMapCommit(Commit, BootClock::now());
   });
@@ -441,6 +462,33 @@
                     });
 }
 
+void MeshDaemon::tell(const std::set<InstanceId> &Owners) {
+  auto Row = this->View.keyMapRow(this->Server.service());
+  for (const InstanceId &Owner : Owners) {
+    const InstanceRow *Known = this->View.findInstance(Owner);
+    if (Row && Known) {
+      this->Views.tell(*Row, Known->Inner);
+    }
+  }
+}
+
+void MeshDaemon::askOwner(const std::string &Service) {
+  std::vector<Address> Near;
+  std::vector<Address> Far;
+  for (const auto &[Name, Row] : this->View.instances()) {
+    bool Fits = Row.Service == Service && Row.State == ServerState::Ready &&
+                Name != this->Config.Instance;
+    if (Fits) {
+      (Row.Region == this->Config.Region ? Near : Far).push_back(Row.Inner);
+    }
+  }
+
+  const std::vector<Address> &Owners = Near.empty() ? Far : Near;
+  if (!Owners.empty()) {
+    this->Views.ask(Owners[this->NextAsked++ % Owners.size()]);
+  }
+}
+
 void MeshDaemon::decided(KeyEvent Event, const std::string &Detail) {
   LogLine(LogLevel::Info, "keys", nameOf(Event))
       .with("service", this->Server.service())
--- a/mesh/MeshSettings.cpp
+++ b/mesh/MeshSettings.cpp
@@ -14,6 +14,8 @@
   Section.readAddress("readiness", Result.Readiness);
   Section.readAddress("reports", Result.Reports);
   Section.readAddress("inner", Result.Inner);
+  Result.Advertised = Result.Inner;
+  Section.readAddress("advertised", Result.Advertised, false);
   Result.Metrics.Host = Result.Inner.Host;
   Section.readNumber("metrics_port", 1, 65535, false, Result.Metrics.Port);
   Section.refuseUnknown();
--- a/mesh/MeshSettings.h
+++ b/mesh/MeshSettings.h
@@ -26,6 +26,9 @@
   /// Where other daemons send requests and calls.
   Address Inner;
 
+  /// Where they reach Inner; another address where something stands between.
+  Address Advertised;
+
   /// Where counters are shown; port 0 for nowhere.
   Address Metrics;
 
--- a/mesh/MeshView.cpp
+++ b/mesh/MeshView.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.h"
 
+#include <algorithm>
 #include <set>
 
 namespace hemlockspar {
@@ -57,6 +58,7 @@
   if (Rows.Complete && Newer) {
     this->removeUnlisted(Rows);
     this->ReadAt[Rows.Table] = Rows.Version;
+    this->noteComplete(Rows.Table, Rows.Version);
   }
   this->notify();
 }
@@ -115,6 +117,69 @@
   return Place == this->ReadAt.end() ? 0 : Place->second;
 }
 
+RowVersion MeshView::completeTo(const std::string &Table) const {
+  auto Place = this->CompleteTo.find(Table);
+  return Place == this->CompleteTo.end() ? 0 : Place->second;
+}
+
+void MeshView::noteComplete(const std::string &Table, RowVersion Version) {
+  RowVersion &Known = this->CompleteTo[Table];
+  Known = std::max(Known, Version);
+}
+
+ViewMarks MeshView::marks() const {
+  return {this->markOf(tables::Instances), this->markOf(tables::Keys)};
+}
+
+RowVersion MeshView::markOf(const std::string &Table) const {
+  RowVersion Newest = 0;
+  RowVersion Complete = this->completeTo(Table);
+  std::string Prefix = rowKey(Table, "");
+
+  for (auto Row = this->Versions.lower_bound(Prefix);
+       Row != this->Versions.end() && Row->first.starts_with(Prefix); ++Row) {
+    if (Row->second <= Complete) {
+      Newest = std::max(Newest, Row->second);
+    }
+  }
+  return Newest;
+}
+
+StoreRows MeshView::rowsAfter(const std::string &Table,
+                              RowVersion Version) const {
+  StoreRows Later;
+  Later.Table = Table;
+  Later.Version = this->completeTo(Table);
+  std::string Prefix = rowKey(Table, "");
+
+  for (auto Row = this->Versions.lower_bound(Prefix);
+       Row != this->Versions.end() && Row->first.starts_with(Prefix); ++Row) {
+    if (Row->second > Version) {
+      Later.Rows.push_back({Row->first, Row->second, this->textOf(Row->first)});
+    }
+  }
+  return Later;
+}
+
+std::optional<std::string> MeshView::textOf(const std::string &Key) const {
+  if (auto Name = nameIn(Key, tables::Instances)) {
+    const InstanceRow *Row = this->findInstance(*Name);
+    return Row ? std::optional(Row->toText()) : std::nullopt;
+  }
+  auto Service = nameIn(Key, tables::Keys);
+  const VersionedKeyMap *Owners =
+      Service ? this->findKeyMap(*Service) : nullptr;
+  return Owners ? std::optional(Owners->Map.toText()) : std::nullopt;
+}
+
+std::optional<TableRow> MeshView::keyMapRow(const std::string &Service) const {
+  const VersionedKeyMap *Owners = this->findKeyMap(Service);
+  if (!Owners) {
+    return std::nullopt;
+  }
+  return TableRow{keyMapKey(Service), Owners->Version, Owners->Map.toText()};
+}
+
 const InstanceRow *MeshView::findInstance(const InstanceId &Instance) const {
   auto Place = this->Instances.find(Instance);
   return Place == this->Instances.end() ? nullptr : &Place->second;
--- a/mesh/MeshView.h
+++ b/mesh/MeshView.h
@@ -10,6 +10,15 @@
 
 namespace hemlockspar {
 
+/// How far an instance's view goes, as the versions of the newest rows that it
+/// knows with all before them.
+struct ViewMarks {
+  RowVersion Instances = 0;
+  RowVersion Keys = 0;
+
+  bool operator==(const ViewMarks &) const = default;
+};
+
 /// What this process believes of the mesh: the configuration in force, the
 /// instances and the owners of keys. Rows may come late, twice and in any
 /// order; an older version never replaces a newer one. Free of I/O; lives as
@@ -50,6 +59,22 @@
   /// Version of the newest reading of the whole table of keys; 0 before it.
   RowVersion keysReadAt() const;
 
+  /// All rows of \p Table are known as they were at this version of the store.
+  RowVersion completeTo(const std::string &Table) const;
+
+  /// Nothing of \p Table up to \p Version is missing here.
+  void noteComplete(const std::string &Table, RowVersion Version);
+
+  /// How far this view goes.
+  ViewMarks marks() const;
+
+  /// The rows of \p Table that changed after \p Version; as far as they are
+  /// known with all before them, its version says.
+  StoreRows rowsAfter(const std::string &Table, RowVersion Version) const;
+
+  /// The row of the owners of \p Service's keys; nothing when there is none.
+  std::optional<TableRow> keyMapRow(const std::string &Service) const;
+
   /// Whether both tables have been read; they may have been empty.
   bool wasRead() const { return this->ReadAt.size() == 2; }
 
@@ -59,6 +84,8 @@
 private:
   void applyRow(const TableRow &Row);
   void removeUnlisted(const StoreRows &Rows);
+  RowVersion markOf(const std::string &Table) const;
+  std::optional<std::string> textOf(const std::string &Key) const;
   void notify();
 
   ConfigurationPtr InForce;
@@ -70,6 +97,9 @@
 
   /// Version of the newest reading of each whole table.
   std::map<std::string, RowVersion> ReadAt;
+
+  /// See completeTo.
+  std::map<std::string, RowVersion> CompleteTo;
   std::vector<std::function<void()>> Listeners;
 };
 
--- a/mesh/ServerDesk.cpp
+++ b/mesh/ServerDesk.cpp
@@ -90,14 +90,14 @@
 std::optional<KeyGrants>
 ServerDesk::grantFor(const ServerReport &Report, TimePoint ReceivedAt,
                      const asio::yield_context &Yield) {
-  auto Grants = this->Keeper.grant(ReceivedAt, BootClock::now());
   TimePoint Until = ReceivedAt + LongestDelay;
-
   auto Waits = [&](TimePoint Now) {
+    auto Grants = this->Keeper.planGrants(ReceivedAt, Now);
     bool Nothing = !Grants || Grants->Granted.empty();
     return !Report.Leaving && Now < Until &&
            (Nothing || this->Keeper.awaitsKeys(Now));
   };
+
   while (Waits(BootClock::now())) {
     sleepFor(this->Io, DelayStep, Yield);
 
@@ -107,9 +107,8 @@
     if (!Current) {
       return std::nullopt;
     }
-    Grants = this->Keeper.grant(ReceivedAt, BootClock::now());
   }
-  return Grants;
+  return this->Keeper.grant(ReceivedAt, BootClock::now());
 }
 
 HttpResponse ServerDesk::onLeave(const std::string &ServerId) {
--- a/mesh/Store.h
+++ b/mesh/Store.h
@@ -30,6 +30,10 @@
 struct StoreCommit {
   CommitResult Result;
 
+  /// On a conflict: the rows of the conditions as they are, where the store
+  /// tells them.
+  std::vector<TableRow> Current;
+
   /// The store's own steady clock; nothing when there was no answer.
   std::optional<Duration> StoreClock;
 };
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -26,8 +26,9 @@
 /// Where no keys are owned, the table of keys is read this often.
 constexpr auto KeysInterval = std::chrono::seconds(15);
 
-/// Between two readings of the table of keys that were asked for.
-constexpr auto ReadPause = std::chrono::milliseconds(400);
+/// Between two readings of the table of keys that were asked for: other daemons
+/// are asked first, and each reading is a priced call.
+constexpr auto ReadPause = std::chrono::milliseconds(2500);
 
 /// After a call that failed.
 constexpr auto RetryPause = std::chrono::milliseconds(300);
@@ -36,15 +37,24 @@
 /// between would be a call of its own.
 constexpr auto ShortestMeshPause = std::chrono::milliseconds(120);
 
-/// Added for each instance: the more there are, the more rows change.
-constexpr auto MeshPauseStep = std::chrono::milliseconds(15);
-constexpr auto LongestMeshPause = std::chrono::milliseconds(1000);
+/// Owners look for newer owners after this pause and as much more for each
+/// instance: the more there are, the more keys move.
+constexpr auto OwnersPauseStep = std::chrono::milliseconds(15);
+constexpr auto LongestOwnersPause = std::chrono::milliseconds(1000);
+
+/// Daemons of a region that await changes of the instances; the others hear of
+/// them from daemons. Two, so that the loss of one costs nothing.
+constexpr std::size_t ReadersPerRegion = 2;
+
+/// The other daemons look into the store after a change no sooner than this.
+constexpr auto FollowerPause = std::chrono::seconds(8);
 
 } // namespace
 
 StoreSync::StoreSync(asio::io_context &Io, Store &Rows, MeshView &View,
-                     const ConfigurationCodec &Codec)
-    : Rows(Rows), View(View), Codec(Codec),
+                     const ConfigurationCodec &Codec,
+                     const MeshSettings &Config)
+    : Rows(Rows), View(View), Codec(Codec), Config(Config),
       Operator(Io, tables::Operator, OperatorWait),
       Instances(Io, tables::Instances, MeshWait),
       Keys(Io, tables::Keys, MeshWait), WriteTimer(Io), CatchUpTimer(Io) {}
@@ -65,6 +75,8 @@
 
 void StoreSync::advance(Feed &Followed) {
   if (Followed.Known) {
+    Followed.Version =
+        std::max(Followed.Version, this->View.completeTo(Followed.Table));
     this->Rows.follow(Followed.Table, Followed.Version, Followed.Wait,
                       [this, &Followed](const FollowResult &Result) {
                         this->onFollowed(Followed, Result);
@@ -119,17 +131,35 @@
 
   this->take(Followed, Result.Rows);
   Followed.Version = std::max(Followed.Version, Result.Rows.Version);
+  this->View.noteComplete(Followed.Table, Followed.Version);
   bool Pause = !Result.Rows.Rows.empty() && &Followed != &this->Operator;
   if (Pause) {
-    this->advanceAfter(Followed, this->changePause());
+    this->advanceAfter(Followed, this->changePause(Followed));
   } else {
     this->advance(Followed);
   }
 }
 
-Duration StoreSync::changePause() const {
-  auto Step = MeshPauseStep * static_cast<int>(this->View.instances().size());
-  return std::clamp<Duration>(Step, ShortestMeshPause, LongestMeshPause);
+Duration StoreSync::changePause(const Feed &Followed) const {
+  if (&Followed == &this->Keys) {
+    auto Step =
+        OwnersPauseStep * static_cast<int>(this->View.instances().size());
+    return std::clamp<Duration>(Step, ShortestMeshPause, LongestOwnersPause);
+  }
+  return this->readsFirst() ? Duration(ShortestMeshPause)
+                            : Duration(FollowerPause);
+}
+
+bool StoreSync::readsFirst() const {
+  std::size_t Before = 0;
+  bool Listed = false;
+  for (const auto &[Name, Row] : this->View.instances()) {
+    bool Fits =
+        Row.Region == this->Config.Region && Row.State == ServerState::Ready;
+    Listed = Listed || (Fits && Name == this->Config.Instance);
+    Before += Fits && Name < this->Config.Instance ? 1 : 0;
+  }
+  return Before < ReadersPerRegion && (Listed || Before == 0);
 }
 
 void StoreSync::take(Feed &Followed, const StoreRows &Rows) {
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mesh/MeshSettings.h"
 #include "mesh/MeshView.h"
 #include "mesh/ReportCodec.h"
 #include "mesh/Store.h"
@@ -15,7 +16,7 @@
 class StoreSync {
 public:
   StoreSync(boost::asio::io_context &Io, Store &Rows, MeshView &View,
-            const ConfigurationCodec &Codec);
+            const ConfigurationCodec &Codec, const MeshSettings &Config);
 
   void start();
 
@@ -57,7 +58,8 @@
   void onFollowed(Feed &Followed, const FollowResult &Result);
   void take(Feed &Followed, const StoreRows &Rows);
   void readInstances();
-  Duration changePause() const;
+  Duration changePause(const Feed &Followed) const;
+  bool readsFirst() const;
   bool isBehind() const;
   void readOperator();
   void takeConfiguration(const TableRow &Row);
@@ -67,6 +69,7 @@
   Store &Rows;
   MeshView &View;
   const ConfigurationCodec &Codec;
+  const MeshSettings &Config;
   Feed Operator;
   Feed Instances;
   Feed Keys;
--- a/mesh/Try.h
+++ b/mesh/Try.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/Answers.h"
+#include "mesh/MeshView.h"
 #include "mesh/ServerLoad.h"
 #include "mesh/ServerReport.h"
 
@@ -82,12 +83,21 @@
   InstanceId Owner;
   KeySpan OwnersKeys;
 
+  /// Version of the map of owners by which it knows.
+  RowVersion OwnersVersion = 0;
+
   /// How busy the backend server is; nothing when that is not known.
   std::optional<ServerLoad> Load;
 
   /// Version of the configuration in force at the instance that was asked.
   std::uint64_t Configuration = 0;
 
+  /// For Answered: how long it held a slot.
+  Duration Run{};
+
+  /// How far the view of the instance that was asked goes.
+  ViewMarks View;
+
   /// Set when the outcome is Answered.
   HttpResponse Response;
 };
--- a/stand_ins/PlatformServer.cpp
+++ b/stand_ins/PlatformServer.cpp
@@ -55,10 +55,23 @@
   this->Leaving = true;
 }
 
+void PlatformServer::restart(const std::string &Id) {
+  std::lock_guard Lock(this->Guard);
+  if (this->Ledger) {
+    this->Ledger->replace(this->Chosen.Id, {});
+  }
+  this->Chosen.Id = Id;
+  this->Born = unixMilliseconds();
+  this->Sequence = 0;
+  this->Holds.clear();
+  this->Released = Json::Value(Json::arrayValue);
+  this->Leaving = false;
+}
+
 bool PlatformServer::holdsLocked(std::uint32_t Key) const {
   TimePoint Now = BootClock::now();
   return std::any_of(
-      this->Holds.begin(), this->Holds.end(), [&](const Hold &Held) {
+      this->Holds.begin(), this->Holds.end(), [&](const HeldKeys &Held) {
         return Held.From <= Key && Key <= Held.To && Now < Held.Until;
       });
 }
@@ -71,7 +84,7 @@
 std::uint32_t PlatformServer::heldCount() {
   std::lock_guard Lock(this->Guard);
   std::uint32_t Count = 0;
-  for (const Hold &Held : this->Holds) {
+  for (const HeldKeys &Held : this->Holds) {
     bool Valid = BootClock::now() < Held.Until;
     Count += Valid ? Held.To - Held.From + 1 : 0;
   }
@@ -115,6 +128,9 @@
     }
     ++this->Running;
     this->Runs.push_back(RequestId);
+    if (Now.RunTwice) {
+      this->Runs.push_back(RequestId);
+    }
     this->Newest.clear();
     for (const auto &Field : Request) {
       this->Newest[std::string(Field.name_string())] =
@@ -164,7 +180,7 @@
   Report["sequence"] = Json::UInt64(++this->Sequence);
   Report["born"] = Json::Int64(this->Born);
   Report["holds"] = Json::Value(Json::arrayValue);
-  for (const Hold &Held : this->Holds) {
+  for (const HeldKeys &Held : this->Holds) {
     Json::Value Row(Json::arrayValue);
     Row.append(Held.From);
     Row.append(Held.To);
@@ -175,6 +191,11 @@
   return Report;
 }
 
+std::int64_t PlatformServer::bornAt() {
+  std::lock_guard Lock(this->Guard);
+  return this->Born;
+}
+
 bool PlatformServer::report(const asio::yield_context &Yield) {
   HttpRequest Request(http::verb::put, "/api/instances/" + this->Chosen.Id, 11);
   Request.set(http::field::host, "daemon");
@@ -182,6 +203,7 @@
   Request.body() = writeJson(this->makeReport());
 
   TimePoint SentAt = BootClock::now();
+  std::int64_t SentBy = this->bornAt();
   ExchangeResult Exchange =
       this->Client.exchange(this->Chosen.Daemon, Request,
                             {.Deadline = SentAt + ReportTimeout}, Yield);
@@ -189,7 +211,9 @@
                       Exchange.Response.result() == http::status::ok;
   auto Answer =
       Acknowledged ? readJson(Exchange.Response.body()) : std::nullopt;
-  return Answer && this->takeAnswer(*Answer, SentAt);
+  // An answer to the run before it counts for nothing.
+  return Answer && SentBy == this->bornAt() &&
+         this->takeAnswer(*Answer, SentAt);
 }
 
 bool PlatformServer::takeAnswer(const Json::Value &Answer, TimePoint SentAt) {
@@ -200,17 +224,17 @@
     return false;
   }
 
-  std::vector<Hold> Next;
+  std::vector<HeldKeys> Next;
   for (const Json::Value &Row : Answer["holds"]) {
     Next.push_back({Row[0].asUInt(), Row[1].asUInt(), Row[2].asUInt64(),
                     SentAt + *HoldTime});
   }
   auto Kept = [&](std::uint32_t Key) {
-    return std::any_of(Next.begin(), Next.end(), [&](const Hold &Held) {
+    return std::any_of(Next.begin(), Next.end(), [&](const HeldKeys &Held) {
       return Held.From <= Key && Key <= Held.To;
     });
   };
-  for (const Hold &Held : this->Holds) {
+  for (const HeldKeys &Held : this->Holds) {
     std::uint32_t Key = Held.From;
     while (Key <= Held.To) {
       std::uint32_t First = Key;
@@ -230,6 +254,9 @@
     }
   }
   this->Holds = std::move(Next);
+  if (this->Ledger) {
+    this->Ledger->replace(this->Chosen.Id, this->Holds);
+  }
   return !this->Released.empty();
 }
 
--- a/stand_ins/PlatformServer.h
+++ b/stand_ins/PlatformServer.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
+#include "stand_ins/HoldLedger.h"
 
 #include <json/value.h>
 #include <mutex>
@@ -21,6 +22,9 @@
   /// Answers with the id of another request.
   bool WrongIds = false;
 
+  /// Runs each request a second time.
+  bool RunTwice = false;
+
   /// Sends nothing to the daemon.
   bool Mute = false;
 
@@ -46,12 +50,18 @@
 
   PlatformServer(boost::asio::io_context &Io, Terms Chosen);
 
+  /// Tells \p Ledger what it holds from now on; null for nobody.
+  void setLedger(HoldLedger *Ledger) { this->Ledger = Ledger; }
+
   absl::Status start();
   void setFaults(const PlatformServerFaults &Fresh);
 
   /// From now on it says that it stops.
   void leave();
 
+  /// It starts anew as \p Id: it holds nothing, and its counts begin again.
+  void restart(const std::string &Id);
+
   /// Whether it holds \p Key now.
   bool holds(std::uint32_t Key);
 
@@ -65,13 +75,6 @@
   std::map<std::string, std::string> newestHeaders();
 
 private:
-  struct Hold {
-    std::uint32_t From = 0;
-    std::uint32_t To = 0;
-    std::uint64_t Token = 0;
-    TimePoint Until;
-  };
-
   HttpResponse serve(HttpRequest &Request,
                      const boost::asio::yield_context &Yield);
   HttpResponse refuse(http::status Status, const std::string &RequestId) const;
@@ -79,6 +82,7 @@
   bool report(const boost::asio::yield_context &Yield);
   Json::Value makeReport();
   bool takeAnswer(const Json::Value &Answer, TimePoint SentAt);
+  std::int64_t bornAt();
   bool holdsLocked(std::uint32_t Key) const;
 
   boost::asio::io_context &Io;
@@ -90,7 +94,8 @@
   bool Leaving = false;
   std::int64_t Born;
   std::uint64_t Sequence = 0;
-  std::vector<Hold> Holds;
+  std::vector<HeldKeys> Holds;
+  HoldLedger *Ledger = nullptr;
   Json::Value Released{Json::arrayValue};
   std::uint32_t Running = 0;
   std::vector<std::string> Runs;
--- a/tests/mesh/HopCodecTest.cpp
+++ b/tests/mesh/HopCodecTest.cpp
@@ -40,6 +40,9 @@
   TryResult Result = tryNotRun(TryReason::NotOwner, milliseconds(40));
   Result.Owner = "sidecar-2";
   Result.OwnersKeys = {100, 200};
+  Result.OwnersVersion = 31;
+  Result.View = {40, 41};
+  Result.Run = milliseconds(250);
   Result.Load = ServerLoad{3, 1, 6, 0.5, milliseconds(210)};
 
   TryResult Read = hop::takeResult(hop::writeResult(std::move(Result)));
@@ -47,6 +50,8 @@
   cr_assert(Read.Reason == TryReason::NotOwner && !Read.Reached);
   cr_assert(Read.Wait == milliseconds(40) && Read.Owner == "sidecar-2");
   cr_assert(Read.OwnersKeys == (KeySpan{100, 200}));
+  cr_assert(Read.OwnersVersion == 31 && Read.View == (ViewMarks{40, 41}));
+  cr_assert(Read.Run == milliseconds(250));
   cr_assert(Read.Load && Read.Load->Slots == 6 && Read.Load->Waiting == 1);
 }
 
--- a/tests/mesh/KeyWorld.cpp
+++ b/tests/mesh/KeyWorld.cpp
@@ -64,6 +64,10 @@
         StoreRows Written;
         Written.Rows = writtenRows(Write, Commit.Result.Version).Rows;
         this->View->apply(Written);
+      } else if (!Commit.Current.empty()) {
+        StoreRows Current;
+        Current.Rows = Commit.Current;
+        this->View->apply(Current);
       }
       this->Keeper->onMapCommit(Commit, this->World.Now);
     });
@@ -105,6 +109,23 @@
     }
   }
 
+  void tell(const std::set<InstanceId> &Owners) override {
+    auto Row = this->View->keyMapRow("menus");
+    for (auto &Other : this->World.Nodes) {
+      if (!Row || !Owners.contains(Other->Name)) {
+        continue;
+      }
+      Node *Target = Other.get();
+      this->World.at(this->World.randomSpan(1, 200), [this, Target, Row] {
+        this->World.deliver(*Target, [Target, Row] {
+          StoreRows Told;
+          Told.Rows = {*Row};
+          Target->View->apply(Told);
+        });
+      });
+    }
+  }
+
   void decided(KeyEvent Event, const std::string &) override {
     this->World.Handovers += Event == KeyEvent::HandoverDone ? 1 : 0;
   }
@@ -252,7 +273,15 @@
     StoredRow &Row = this->Rows[Condition.Key];
     RowVersion Version = Row.Value ? Row.Version : 0;
     if (Version != Condition.Version) {
-      return {{CommitOutcome::Conflict, 0}, this->storeClock()};
+      StoreCommit Refused = {
+          {CommitOutcome::Conflict, 0}, {}, this->storeClock()};
+      for (const RowCondition &Known : Write.Conditions) {
+        const StoredRow &Stored = this->Rows[Known.Key];
+        if (Stored.Value) {
+          Refused.Current.push_back({Known.Key, Stored.Version, Stored.Value});
+        }
+      }
+      return Refused;
     }
   }
 
@@ -260,7 +289,8 @@
   for (const RowWrite &One : Write.Writes) {
     this->Rows[One.Key] = {One.Value, this->LastVersion};
   }
-  return {{CommitOutcome::Committed, this->LastVersion}, this->storeClock()};
+  return {
+      {CommitOutcome::Committed, this->LastVersion}, {}, this->storeClock()};
 }
 
 void KeyWorld::commit(Node &Member, const TableTransaction &Write,
@@ -272,8 +302,8 @@
     }
   };
   int Who = Member.Number;
-  StoreCommit NotRun = {{CommitOutcome::NotRun, 0}, std::nullopt};
-  StoreCommit Unknown = {{CommitOutcome::Unknown, 0}, std::nullopt};
+  StoreCommit NotRun = {{CommitOutcome::NotRun, 0}, {}, std::nullopt};
+  StoreCommit Unknown = {{CommitOutcome::Unknown, 0}, {}, std::nullopt};
 
   if (this->faulty(KeyFaultKind::StoreRefuses, Who) ||
       this->faulty(KeyFaultKind::StoreDown, Who)) {
--- a/tests/mesh/MeshViewTest.cpp
+++ b/tests/mesh/MeshViewTest.cpp
@@ -71,3 +71,23 @@
                   false, 0));
   cr_assert(View.instances().empty());
 }
+
+/// What a view knows after a version goes to another view, which is then as
+/// far; rows that are known ahead of others claim nothing.
+Test(MeshView, ViewsBringOneAnotherUp) {
+  MeshView First;
+  First.apply(rows({instanceRow("a", 3), instanceRow("b", 9)}, true, 12));
+  First.apply(rows({instanceRow("c", 20)}, false, 0));
+  cr_assert_eq(First.completeTo(tables::Instances), 12);
+  cr_assert_eq(First.marks().Instances, 9, "a row ahead of others was claimed");
+
+  MeshView Second;
+  Second.apply(rows({instanceRow("a", 3)}, true, 5));
+  StoreRows Later =
+      First.rowsAfter(tables::Instances, Second.completeTo(tables::Instances));
+  cr_assert_eq(Later.Rows.size(), 2);
+  Second.apply(Later);
+  Second.noteComplete(Later.Table, Later.Version);
+  cr_assert(Second.findInstance("b") && Second.findInstance("c"));
+  cr_assert_eq(Second.completeTo(tables::Instances), 12);
+}
--- a/tests/mesh/OwnLeaseTest.cpp
+++ b/tests/mesh/OwnLeaseTest.cpp
@@ -15,7 +15,7 @@
   }
 
   StoreCommit answer(CommitOutcome Outcome, RowVersion Version = 0) const {
-    return {{Outcome, Version}, std::nullopt};
+    return {{Outcome, Version}, {}, std::nullopt};
   }
 
   /// Reads that there is no row, and writes the first one.
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -1,5 +1,7 @@
 #include "tests/mesh/PlatformMesh.h"
 
+#include "core/Json.h"
+
 #include <absl/strings/str_cat.h>
 #include <csignal>
 #include <cstdlib>
@@ -44,8 +46,9 @@
 
 } // namespace
 
-PlatformMesh::PlatformMesh(int Number, std::vector<std::string> Chosen)
-    : Number(Number), Services(std::move(Chosen)),
+PlatformMesh::PlatformMesh(int Number, std::vector<std::string> Chosen,
+                           bool Proxied)
+    : Number(Number), Proxied(Proxied), Services(std::move(Chosen)),
       KeepRunning(boost::asio::make_work_guard(Io)),
       Rows(std::make_unique<PlatformStore>(Io)) {
   std::string Pattern =
@@ -75,6 +78,50 @@
   return {absl::StrCat("127.", this->Number, ".0.", Index + 1), StorePort};
 }
 
+Address PlatformMesh::callersOf(int Index) const {
+  return {this->hostOf(Index), CallerPort};
+}
+
+Address PlatformMesh::proxyOf(int Index) const {
+  return {absl::StrCat("127.", this->Number, ".2.", Index + 1), InnerPort};
+}
+
+Address PlatformMesh::storeProxyOf(int Index) const {
+  return {absl::StrCat("127.", this->Number, ".3.", Index + 1), StorePort};
+}
+
+bool PlatformMesh::startProxy() {
+  this->Proxy = std::make_unique<FaultProxy>(this->Io);
+  bool Open = this->Proxy->listenForFaults(this->proxyControl()).ok();
+  for (int Index = 0; Index < this->count(); ++Index) {
+    Open = Open &&
+           this->Proxy
+               ->forward(this->proxyOf(Index), {this->hostOf(Index), InnerPort})
+               .ok() &&
+           this->Proxy->forward(this->storeProxyOf(Index), this->storeOf(Index))
+               .ok();
+  }
+  return Open;
+}
+
+Address PlatformMesh::proxyControl() const {
+  return {absl::StrCat("127.", this->Number, ".4.1"), CallerPort};
+}
+
+void PlatformMesh::setLink(int From, int To, const LinkFaults &Faults) {
+  Json::Value Fields;
+  Fields["from"] = this->hostOf(From);
+  Fields["to"] = To < 0 ? this->storeOf(From).Host : this->hostOf(To);
+  Fields["cut_out"] = Faults.CutOut;
+  Fields["cut_back"] = Faults.CutBack;
+  Fields["reset"] = Faults.Reset;
+  Fields["delay_ms"] = Json::UInt64(Faults.DelayMs);
+  HttpRequest Request(http::verb::put, "/links", 11);
+  Request.set(http::field::host, "proxy");
+  Request.body() = writeJson(Fields);
+  this->Client.exchange(this->proxyControl(), Request, CallTimeout);
+}
+
 std::string PlatformMesh::path(const std::string &File) const {
   return this->Directory + "/" + File;
 }
@@ -111,8 +158,12 @@
        << "listen:\n  callers: " << Host << ":" << CallerPort
        << "\n  readiness: " << Host << ":" << ReadyPort
        << "\n  reports: " << Host << ":" << ReportPort << "\n  inner: " << Host
-       << ":" << InnerPort << "\n  metrics_port: " << MetricsPort
-       << "\nstore:\n  address: " << this->storeOf(Index).toText()
+       << ":" << InnerPort << "\n  advertised: "
+       << (this->Proxied ? this->proxyOf(Index) : Address{Host, InnerPort})
+              .toText()
+       << "\n  metrics_port: " << MetricsPort << "\nstore:\n  address: "
+       << (this->Proxied ? this->storeProxyOf(Index) : this->storeOf(Index))
+              .toText()
        << "\nserver:\n  address: " << Host << ":" << ServerPort
        << "\n  service: " << this->Services[static_cast<std::size_t>(Index)]
        << "\n  heartbeat: 300ms\nrepeats:\n  allowance: 1000\n";
@@ -159,6 +210,9 @@
 
 bool PlatformMesh::start() {
   this->declare(1);
+  if (this->Proxied && !this->startProxy()) {
+    return false;
+  }
 
   for (int Index = 0; Index < int(this->Services.size()); ++Index) {
     std::string Host = this->hostOf(Index);
@@ -173,6 +227,7 @@
     Terms.At = {Host, ServerPort};
     Terms.Daemon = {Host, ReportPort};
     this->Servers.push_back(std::make_unique<PlatformServer>(this->Io, Terms));
+    this->Servers.back()->setLedger(this->Ledger);
     if (!this->Servers.back()->start().ok()) {
       return false;
     }
--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/BlockingClient.h"
+#include "stand_ins/FaultProxy.h"
 #include "stand_ins/PlatformServer.h"
 #include "stand_ins/PlatformStore.h"
 
@@ -18,8 +19,10 @@
 public:
   /// \p Number, different in each test, chooses the addresses 127.Number.*.
   /// Programs run side by side: these begin at 61, those of Mesh end below.
-  /// \p Services names the service beside each daemon.
-  PlatformMesh(int Number, std::vector<std::string> Services);
+  /// \p Services names the service beside each daemon. When \p Proxied, a
+  /// proxy stands between daemons, and between each and the store.
+  PlatformMesh(int Number, std::vector<std::string> Services,
+               bool Proxied = false);
   ~PlatformMesh();
 
   PlatformMesh(const PlatformMesh &) = delete;
@@ -61,27 +64,50 @@
   bool waitUntil(const std::function<bool()> &Condition,
                  std::chrono::seconds Limit = std::chrono::seconds(40));
 
+  /// Whether the daemon's process has been started and not seen to end.
+  bool isUp(int Index) const { return this->Daemons.contains(Index); }
+
+  /// Backend servers that are started from now on tell \p Ledger what they
+  /// hold.
+  void setLedger(HoldLedger *Ledger) { this->Ledger = Ledger; }
+
   PlatformStore &store() { return *this->Rows; }
   PlatformServer &server(int Index) {
     return *this->Servers[static_cast<std::size_t>(Index)];
   }
   std::string hostOf(int Index) const;
+  int count() const { return static_cast<int>(this->Services.size()); }
+
+  /// What the proxy does to connections that daemon \p From opens to daemon
+  /// \p To, or to the store for -1.
+  void setLink(int From, int To, const LinkFaults &Faults);
+
+  /// Where callers beside daemon \p Index send requests.
+  Address callersOf(int Index) const;
   std::string logOf(int Index) const;
 
 private:
   Address storeOf(int Index) const;
+  Address proxyOf(int Index) const;
+  Address storeProxyOf(int Index) const;
+  Address proxyControl() const;
   void writeSettings(int Index) const;
   std::string path(const std::string &File) const;
 
+  bool startProxy();
+
   int Number;
+  bool Proxied;
   std::vector<std::string> Services;
   std::string Directory;
   boost::asio::io_context Io;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       KeepRunning;
   std::unique_ptr<PlatformStore> Rows;
+  std::unique_ptr<FaultProxy> Proxy;
   std::vector<std::unique_ptr<PlatformServer>> Servers;
   std::thread Runner;
+  HoldLedger *Ledger = nullptr;
   std::map<int, pid_t> Daemons;
   BlockingClient Client;
   int LastRequest = 0;
--- /dev/null
+++ b/tests/mesh/ViewCodecTest.cpp
@@ -0,0 +1,42 @@
+#include "mesh/ViewCodec.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace hemlockspar;
+
+Test(ViewCodec, RowsComeAcross) {
+  StoreRows Part;
+  Part.Table = tables::Keys;
+  Part.Version = 40;
+  Part.Rows = {{"hemlockspar-keys/menus", 33, "text \"with\" marks"},
+               {"hemlockspar-keys/gone", 38, std::nullopt}};
+
+  HttpRequest Request = viewcodec::makeTelling({Part});
+  cr_assert(viewcodec::isTelling(Request));
+  auto Read = viewcodec::decodeRows(Request.body());
+  cr_assert(Read && Read->size() == 1);
+  cr_assert((*Read)[0].Table == tables::Keys && (*Read)[0].Version == 40);
+  cr_assert((*Read)[0].Rows[0].Value == "text \"with\" marks");
+  cr_assert((*Read)[0].Rows[1].Version == 38 && !(*Read)[0].Rows[1].Value);
+  cr_assert_not((*Read)[0].Complete, "a part counted as a whole reading");
+}
+
+Test(ViewCodec, QuestionsComeAcross) {
+  auto Asked = viewcodec::readQuestion(viewcodec::makeQuestion({7, 12}));
+  cr_assert(Asked && Asked->Instances == 7 && Asked->Keys == 12);
+  HttpRequest Other(http::verb::get, "/", 11);
+  cr_assert(!viewcodec::readQuestion(Other));
+  cr_assert(!viewcodec::isTelling(Other));
+}
+
+Test(ViewCodec, BadRowsAreRefused) {
+  for (const char *Text : {"", "{}", "[1]", R"([{"table":"t","to":1}])",
+                           R"([{"table":"t","to":"1","rows":[]}])",
+                           R"([{"table":"t","to":1,"rows":[["k",1]]}])",
+                           R"([{"table":"t","to":1,"rows":[["k",-1,"v"]]}])"}) {
+    cr_assert(!viewcodec::decodeRows(Text), "%s", Text);
+  }
+  cr_assert(rc::check("any bytes are refused or read",
+                      [](std::string Text) { viewcodec::decodeRows(Text); }));
+}
