mesh: a process that has just started looks for instances at the old pace

Change: for its first ten seconds a process looks for instances after 15 ms for each, up to a second, as before.

--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -37,10 +37,15 @@
 /// between would be a call of its own.
 constexpr auto ShortestMeshPause = std::chrono::milliseconds(120);
 
-/// Owners look for newer owners after this pause and as much more for each
-/// instance: the more there are, the more keys move.
-constexpr auto OwnersPauseStep = std::chrono::milliseconds(15);
-constexpr auto LongestOwnersPause = std::chrono::milliseconds(1000);
+/// Owners look for newer owners after this pause for each instance: the more
+/// there are, the more keys move.
+constexpr auto PauseStep = std::chrono::milliseconds(15);
+constexpr auto LongestMeshPause = std::chrono::milliseconds(1000);
+
+/// A process that has just started looks for instances at the same pace: all
+/// may have started with it, and the first layout of keys is made by whoever
+/// it knows then.
+constexpr auto StartTime = std::chrono::seconds(10);
 
 /// Daemons of a region that await changes of the instances; the others hear of
 /// them from daemons. Two, so that the loss of one costs nothing.
@@ -60,6 +65,7 @@
       Keys(Io, tables::Keys, MeshWait), WriteTimer(Io), CatchUpTimer(Io) {}
 
 void StoreSync::start() {
+  this->StartedAt = BootClock::now();
   this->advance(this->Operator);
   this->advance(this->Instances);
   this->advance(this->Keys);
@@ -141,10 +147,10 @@
 }
 
 Duration StoreSync::changePause(const Feed &Followed) const {
-  if (&Followed == &this->Keys) {
-    auto Step =
-        OwnersPauseStep * static_cast<int>(this->View.instances().size());
-    return std::clamp<Duration>(Step, ShortestMeshPause, LongestOwnersPause);
+  bool Starting = BootClock::now() - this->StartedAt < StartTime;
+  if (&Followed == &this->Keys || Starting) {
+    auto Step = PauseStep * static_cast<int>(this->View.instances().size());
+    return std::clamp<Duration>(Step, ShortestMeshPause, LongestMeshPause);
   }
   return this->readsFirst() ? Duration(ShortestMeshPause)
                             : Duration(FollowerPause);
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -74,6 +74,7 @@
   Feed Instances;
   Feed Keys;
   bool FollowsKeys = false;
+  TimePoint StartedAt;
 
   boost::asio::steady_timer WriteTimer;
   std::optional<InstanceRow> Wanted;
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -208,7 +208,7 @@
   return WIFEXITED(Status) ? WEXITSTATUS(Status) : -1;
 }
 
-bool PlatformMesh::start() {
+bool PlatformMesh::startServers() {
   this->declare(1);
   if (this->Proxied && !this->startProxy()) {
     return false;
@@ -234,8 +234,11 @@
     this->startDaemon(Index);
   }
   this->Runner = std::thread([this] { this->Io.run(); });
+  return true;
+}
 
-  return this->waitUntil([this] {
+bool PlatformMesh::start() {
+  return this->startServers() && this->waitUntil([this] {
     for (int Index = 0; Index < int(this->Services.size()); ++Index) {
       if (!this->isReady(Index)) {
         return false;
--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -32,6 +32,9 @@
   /// are ready and all keys are held. False when that does not come about.
   bool start();
 
+  /// As start, and waits for nothing.
+  bool startServers();
+
   /// Declares the routes of configuration \p Version: "/menus/" to the service
   /// menus, whose keys are owned, "/bookings/" to bookings, once only, and
   /// \p Extra to bookings.
