mesh: requests wait for moving keys no longer than for a slot

Ruled out: the way back between regions; the owner's answer was itself too late.

Change: such a wait is bounded as one for a slot, and the refusal says when the key may be served: after the backend server's next report, or the next owner's.

--- a/mesh/Gate.cpp
+++ b/mesh/Gate.cpp
@@ -32,8 +32,9 @@
 /// While a key is on its way here, it is looked for this often.
 constexpr auto KeyPoll = std::chrono::milliseconds(20);
 
-/// A request waits here for its key at most this long: a move takes less than
-/// a second and a half when nothing else goes wrong.
+/// A request waits here for its key at most this long, and no longer than it
+/// might for a slot: a move takes less than a second and a half when nothing
+/// else goes wrong.
 constexpr auto KeyPatience = std::chrono::milliseconds(1500);
 
 HttpClient::Limits serverLimits() {
@@ -92,8 +93,10 @@
 }
 
 bool Gate::awaitKey(const TryTerms &Terms, const asio::yield_context &Yield) {
+  TimePoint Now = BootClock::now();
   TimePoint Until =
-      std::min<TimePoint>(BootClock::now() + KeyPatience, Terms.GiveUpAt);
+      Now + longestWait({KeyPatience, Terms.AimAt - Now, Terms.GiveUpAt - Now,
+                         this->Learned.expected(Terms.RouteName), false});
   while (!this->Keys.serves(*Terms.Key, BootClock::now())) {
     if (!this->Keys.expects(*Terms.Key) || BootClock::now() >= Until) {
       return false;
@@ -116,8 +119,13 @@
     return std::move(*Refusal);
   }
   if (Terms.Key && !this->awaitKey(Terms, Yield)) {
-    bool Coming = this->Keys.expects(*Terms.Key);
-    return tryNotRun(Coming ? TryReason::KeyMoving : TryReason::NotOwner);
+    if (!this->Keys.expects(*Terms.Key)) {
+      return tryNotRun(TryReason::NotOwner);
+    }
+    return tryNotRun(
+        TryReason::KeyMoving,
+        std::max<Duration>(this->Keys.expectedIn(*Terms.Key, BootClock::now()),
+                           KeyPoll));
   }
 
   this->Queue.setCapacity(
--- a/mesh/Ingress.cpp
+++ b/mesh/Ingress.cpp
@@ -401,6 +401,12 @@
   case TryReason::CallerGone:
   case TryReason::TimeOver:
     return NextStep::Finish;
+  case TryReason::KeyMoving:
+    if (Result.Wait > Duration::zero()) {
+      // The owner has let it wait for as long as that may be of use.
+      return NextStep::Finish;
+    }
+    break;
   default:
     break;
   }
--- a/mesh/KeyAccess.h
+++ b/mesh/KeyAccess.h
@@ -16,6 +16,10 @@
   /// owner.
   virtual bool expects(KeyNumber Key) const = 0;
 
+  /// When \p Key, which is expected, may be served, here or by its next owner:
+  /// about as long from \p Now.
+  virtual Duration expectedIn(KeyNumber Key, TimePoint Now) const = 0;
+
   /// A request for \p Key came, let in or not, that takes a slot for \p Busy.
   virtual void recordLoad(KeyNumber Key, Duration Busy, TimePoint Now) = 0;
 };
--- a/mesh/KeyKeeper.cpp
+++ b/mesh/KeyKeeper.cpp
@@ -271,6 +271,15 @@
          Known->Map.find(Key).Holder.Instance == this->Instance;
 }
 
+Duration KeyKeeper::expectedIn(KeyNumber Key, TimePoint Now) const {
+  Duration Heartbeat = this->Bounds.Heartbeat;
+  Duration Next =
+      std::max<Duration>(this->ReportedAt + Heartbeat - Now, Duration::zero());
+
+  // The next owner's backend server has to report, too.
+  return this->isGiving({Key, Key}) ? Next + Heartbeat / 2 : Next;
+}
+
 // The lease
 
 void KeyKeeper::onLeaseCommit(const StoreCommit &Commit, TimePoint SentAt,
--- a/mesh/KeyKeeper.h
+++ b/mesh/KeyKeeper.h
@@ -149,6 +149,8 @@
   /// then.
   bool expects(KeyNumber Key) const override;
 
+  Duration expectedIn(KeyNumber Key, TimePoint Now) const override;
+
   /// Whether the backend server holds no key at present.
   bool holdsNothing(TimePoint Now) const {
     return this->Granted.empty() || Now >= this->GrantedUntil;
--- a/tests/mesh/PlatformMeshTest.cpp
+++ b/tests/mesh/PlatformMeshTest.cpp
@@ -301,3 +301,37 @@
   cr_assert(isServed(Result), "status %u", statusOf(Result));
   cr_assert_eq(Mesh.waitForExit(2), 0);
 }
+
+/// All daemons start at once: the first layout counts them all, though most
+/// hear of the others from daemons and not from the store.
+Test(PlatformMesh, FirstLayoutCountsAll) {
+  PlatformMesh Mesh(74, std::vector<std::string>(8, "menus"));
+  cr_assert(Mesh.startServers());
+  cr_assert(Mesh.waitUntil([&] { return Mesh.allHeld(); }));
+  for (int Index = 0; Index < 8; ++Index) {
+    std::uint32_t Held = Mesh.server(Index).heldCount();
+    cr_assert(Held > 65536 / 16 && Held < 65536 / 4, "server %d holds %u",
+              Index, Held);
+  }
+}
+
+/// A key that nobody can serve for now: the caller is told in good time that
+/// its request has not run, and when to come back, not that its time is over.
+Test(PlatformMesh, MovingKeysAreRefusedInTime) {
+  PlatformMesh Mesh(75, FourDaemons);
+  cr_assert(Mesh.start());
+  PlatformServerFaults Mute;
+  Mute.Mute = true;
+  Mesh.server(0).setFaults(Mute);
+  Mesh.server(1).setFaults(Mute);
+  cr_assert(Mesh.waitUntil([&] { return Mesh.holderOf(7) < 0; }));
+
+  for (int Index : {0, 2, 3}) {
+    TimePoint SentAt = BootClock::now();
+    ExchangeResult Result = Mesh.send(
+        Index, "/menus/7", {{"Shard-Key", "7"}, {"Deadline-Ms", "1500"}});
+    cr_assert_eq(statusOf(Result), 503, "status %u", statusOf(Result));
+    cr_assert(Result.Response.find("Retry-After") != Result.Response.end());
+    cr_assert(BootClock::now() - SentAt < milliseconds(1400));
+  }
+}
