mesh: gifts and others' leases have classes of their own; the fault soak

Change: KeyGifts holds the keys that are on their way, LeaseBook the leases of others; nothing decides otherwise. tests/soak: daemons as processes, callers that keep their connections, proxies between daemons and to the store, faults of eighteen kinds by a plan from a seed, and the promises checked from what callers and backend servers see. HoldLedger in stand_ins notes two holders of a key and tokens that do not rise; a stand-in of a backend server can start anew. listen.advertised says where others reach a daemon, for the proxy and for whatever stands between daemons.

Before, after: 55 tests of mesh_test and 8 of key_property_test pass as before. ABrokenPromiseIsSeen shows the soak red where a backend server runs a request twice.

--- a/mesh/KeyKeeper.cpp
+++ b/mesh/KeyKeeper.cpp
@@ -88,22 +88,6 @@
   return std::to_string(Keys.From) + ".." + std::to_string(Keys.To);
 }
 
-/// Whether \p Parts make up all of \p Keys.
-bool covers(const std::vector<ReleasedKeys> &Parts, const KeySpan &Keys) {
-  KeyNumber Next = Keys.From;
-  bool Advanced = true;
-  while (Advanced && Next <= Keys.To) {
-    Advanced = false;
-    for (const ReleasedKeys &Part : Parts) {
-      if (Part.Keys.contains(Next)) {
-        Next = Part.Keys.To + 1;
-        Advanced = true;
-      }
-    }
-  }
-  return Next > Keys.To;
-}
-
 /// Who has keys by \p Fresh under tokens that \p Before did not have.
 std::set<InstanceId> newOwners(const KeyMap *Before, const KeyMap &Fresh) {
   FencingToken Last = 0;
@@ -156,12 +140,6 @@
   return (this->Refused || Silent) && Now >= this->HoldEnd;
 }
 
-bool KeyKeeper::isGiving(const KeySpan &Keys) const {
-  return std::any_of(
-      this->Gifts.begin(), this->Gifts.end(),
-      [&](const Gift &Given) { return Given.Keys.overlaps(Keys); });
-}
-
 // The backend server
 
 void KeyKeeper::onReport(const ServerReport &Report, TimePoint Now) {
@@ -179,7 +157,7 @@
   this->Refused = false;
   this->ReportedAt = Now;
   this->Leaving = this->Leaving || Report.Leaving;
-  this->noteReleases(Report);
+  this->Gifts.noteReleases(Report.Released);
   this->tick(Now);
 }
 
@@ -197,24 +175,6 @@
   }
 }
 
-void KeyKeeper::noteReleases(const ServerReport &Report) {
-  for (Gift &Given : this->Gifts) {
-    for (const ReleasedKeys &Freed : Report.Released) {
-      if (Given.Keys.overlaps(Freed.Keys)) {
-        KeySpan Part = {std::max(Given.Keys.From, Freed.Keys.From),
-                        std::min(Given.Keys.To, Freed.Keys.To)};
-        Given.Released.push_back({Part, Freed.Handover});
-      }
-    }
-  }
-}
-
-bool KeyKeeper::hasLetGo(const Gift &Given, TimePoint Now) {
-  // That a report does not list keys says nothing: it may have been sent
-  // before the keys were granted.
-  return Now >= Given.HoldEnd || covers(Given.Released, Given.Keys);
-}
-
 std::optional<KeyGrants> KeyKeeper::planGrants(TimePoint ReceivedAt,
                                                TimePoint Now) const {
   const MeshView::VersionedKeyMap *Known = this->map();
@@ -258,11 +218,7 @@
   bool Held = std::any_of(
       this->Granted.begin(), this->Granted.end(),
       [&](const GrantedKeys &Keys) { return Keys.Keys.contains(Key); });
-  bool Draining = std::any_of(
-      this->Gifts.begin(), this->Gifts.end(), [&](const Gift &Given) {
-        return Given.Keys.contains(Key) && Now >= Given.ServedUntil;
-      });
-  return Held && Now < this->GrantedUntil && !Draining;
+  return Held && Now < this->GrantedUntil && !this->Gifts.isDraining(Key, Now);
 }
 
 bool KeyKeeper::expects(KeyNumber Key) const {
@@ -277,7 +233,7 @@
       std::max<Duration>(this->ReportedAt + Heartbeat - Now, Duration::zero());
 
   // The next owner's backend server has to report, too.
-  return this->isGiving({Key, Key}) ? Next + Heartbeat / 2 : Next;
+  return this->Gifts.concerns({Key, Key}) ? Next + Heartbeat / 2 : Next;
 }
 
 // The lease
@@ -302,18 +258,12 @@
   }
 
   this->LeasesWanted = false;
-  this->LeasesAt = Rows->StoreClock;
-  this->Leases.clear();
+  this->Leases.take(*Rows);
   const TableRow *Own = nullptr;
-
   for (const TableRow &Row : Rows->Rows) {
-    auto Parsed = Row.Value ? KeyLease::fromText(*Row.Value) : std::nullopt;
-    if (!Parsed) {
-      continue;
-    }
-    InstanceId Holder = Row.Key.substr(Row.Key.find('/') + 1);
-    this->Leases[Holder] = {*Parsed, Row.Version};
-    Own = Holder == this->Instance ? &Row : Own;
+    bool Readable = Row.Value && KeyLease::fromText(*Row.Value);
+    bool Mine = Row.Key == KeyLease::key(this->Instance);
+    Own = Mine && Readable ? &Row : Own;
   }
 
   this->Lease.onRow(Own, this->Clock);
@@ -398,11 +348,10 @@
       continue;
     }
 
-    auto Held = this->Leases.find(Name);
-    bool Live = Held != this->Leases.end() && StoreTime &&
-                Held->second.Row.Until > *StoreTime;
-    if (Live) {
-      Found.push_back({{Name, Row.Run}, Held->second.Row.Load});
+    auto Load = StoreTime ? this->Leases.loadIfLive(Name, *StoreTime)
+                          : std::optional<double>();
+    if (Load) {
+      Found.push_back({{Name, Row.Run}, *Load});
     }
   }
   return Found;
@@ -455,21 +404,8 @@
 
 bool KeyKeeper::tryFinishGifts(TimePoint Now) {
   KeyMap Fresh = this->map()->Map;
-  bool Changed = false;
-
-  for (Gift &Given : this->Gifts) {
-    if (!hasLetGo(Given, Now)) {
-      continue;
-    }
-    Given.LetGo = true;
-    Fresh.assign(Given.Keys, Given.To, "");
-    for (const ReleasedKeys &Part : Given.Released) {
-      Fresh.assign(Part.Keys, Given.To, Part.Handover);
-    }
-    Changed = true;
-  }
-
-  return Changed && this->writeAsOwner(MapWrite::Handover, Fresh);
+  return this->Gifts.handOver(Fresh, Now) &&
+         this->writeAsOwner(MapWrite::Handover, Fresh);
 }
 
 bool KeyKeeper::tryGiveUpServer(TimePoint Now) {
@@ -501,27 +437,17 @@
 std::vector<KeySpan> KeyKeeper::lostKeys(const KeyMap &Map,
                                          TableTransaction &Write) const {
   std::vector<KeySpan> Lost;
-  std::map<InstanceId, bool> Judged;
+  std::set<InstanceId> Closed;
 
   for (const OwnedKeys &Entry : Map.entries()) {
     const InstanceId &Holder = Entry.Holder.Instance;
-    if (Holder == this->Instance) {
-      continue;
-    }
-
-    auto Known = this->Leases.find(Holder);
-    bool Ended = Known != this->Leases.end() && this->LeasesAt &&
-                 Known->second.Row.Until < *this->LeasesAt;
-    if (!Holder.empty() && !Ended) {
+    bool Ended = Holder.empty() || this->Leases.hasEnded(Holder);
+    if (Holder == this->Instance || !Ended) {
       continue;
     }
     Lost.push_back(Entry.Keys);
-
-    if (!Holder.empty() && !Judged[Holder]) {
-      Judged[Holder] = true;
-      std::string Key = KeyLease::key(Holder);
-      Write.Conditions.push_back({Key, Known->second.Version});
-      Write.Writes.push_back({Key, KeyLease::ended().toText()});
+    if (!Holder.empty() && Closed.insert(Holder).second) {
+      this->Leases.close(Holder, Write);
     }
   }
   return Lost;
@@ -553,16 +479,14 @@
     this->planLeaving(Now);
     return;
   }
-  bool Free =
-      !this->Offers.waiting() && Now >= this->NextGiftAt && this->LeasesAt;
+  bool Free = !this->Offers.waiting() && Now >= this->NextGiftAt &&
+              this->Leases.known();
   if (!Free) {
     return;
   }
 
   std::set<InstanceId> LeftAlone = this->Offers.leftAlone(Now);
-  for (const Gift &Given : this->Gifts) {
-    LeftAlone.insert(Given.To.Instance);
-  }
+  LeftAlone.merge(this->Gifts.receivers());
   std::vector<KeyMember> All = this->members(true, Now);
   double Left = this->loadLeft(Now);
 
@@ -612,7 +536,7 @@
                               TimePoint Now) {
   this->Offers.answered(Receiver);
   if (Answer) {
-    this->onLoadSeen(Receiver, Answer->Load);
+    this->Leases.setLoad(Receiver, Answer->Load);
   }
   const InstanceRow *Row = this->View.findInstance(Receiver);
   bool Taken = Answer && Answer->Taken && Row && this->map() && !this->Leaving;
@@ -621,14 +545,6 @@
   }
 }
 
-void KeyKeeper::onLoadSeen(const InstanceId &Other, double Load) {
-  auto Seen = this->Leases.find(Other);
-  if (Seen != this->Leases.end()) {
-    // Its own word is newer than its lease.
-    Seen->second.Row.Load = Load;
-  }
-}
-
 bool KeyKeeper::tryGive(const InstanceRow &Receiver, double Part,
                         TimePoint Now) {
   std::vector<OwnedKeys> Free = this->keysNotGiven();
@@ -651,27 +567,7 @@
 }
 
 std::vector<OwnedKeys> KeyKeeper::keysNotGiven() const {
-  std::vector<OwnedKeys> Free;
-  for (const OwnedKeys &Entry : this->map()->Map.ownedBy(this->Instance)) {
-    // Gifts are in the order of their keys.
-    KeySpan Rest = Entry.Keys;
-    for (const Gift &Given : this->Gifts) {
-      if (Rest.From > Rest.To || !Given.Keys.overlaps(Rest)) {
-        continue;
-      }
-      if (Given.Keys.From > Rest.From) {
-        Free.push_back({{Rest.From, Given.Keys.From - 1},
-                        Entry.Holder,
-                        Entry.Token,
-                        Entry.Handover});
-      }
-      Rest.From = Given.Keys.To + 1;
-    }
-    if (Rest.From <= Rest.To) {
-      Free.push_back({Rest, Entry.Holder, Entry.Token, Entry.Handover});
-    }
-  }
-  return Free;
+  return this->Gifts.without(this->map()->Map.ownedBy(this->Instance));
 }
 
 double KeyKeeper::loadOf(const std::vector<OwnedKeys> &Entries,
@@ -686,7 +582,7 @@
 void KeyKeeper::planLeaving(TimePoint Now) {
   std::vector<KeySpan> Rest;
   for (const OwnedKeys &Entry : this->map()->Map.ownedBy(this->Instance)) {
-    if (!this->isGiving(Entry.Keys)) {
+    if (!this->Gifts.concerns(Entry.Keys)) {
       Rest.push_back(Entry.Keys);
     }
   }
@@ -703,23 +599,19 @@
 void KeyKeeper::begin(const PlannedGift &Planned, TimePoint Now) {
   this->NextGiftAt = Now + GiftPause;
   TimePoint ReportDue = this->ReportedAt + this->Bounds.Heartbeat;
-  this->Gifts.push_back({Planned.Keys,
-                         Planned.To,
-                         Now,
-                         ReportDue - DrainAhead,
-                         this->HoldEnd,
-                         {},
-                         false});
-  std::sort(this->Gifts.begin(), this->Gifts.end(),
-            [](const Gift &First, const Gift &Second) {
-              return First.Keys < Second.Keys;
-            });
+  this->Gifts.begin({Planned.Keys,
+                     Planned.To,
+                     Now,
+                     ReportDue - DrainAhead,
+                     this->HoldEnd,
+                     {},
+                     false});
   this->Actions.decided(KeyEvent::HandoverBegun,
                         spanText(Planned.Keys) + " to " + Planned.To.Instance);
 }
 
 void KeyKeeper::dropStaleGifts(TimePoint Now) {
-  std::erase_if(this->Gifts, [&](const Gift &Given) {
+  this->Gifts.dropIf([&](const KeyGift &Given) {
     const InstanceRow *Row = this->View.findInstance(Given.To.Instance);
     bool Receives =
         Row && Row->State == ServerState::Ready && Row->Run == Given.To.Run;
@@ -814,7 +706,7 @@
     this->Actions.decided(KeyEvent::RunAdopted, this->Report.Run.Id);
     break;
   case MapWrite::Handover:
-    std::erase_if(this->Gifts, [](const Gift &Given) { return Given.LetGo; });
+    this->Gifts.dropHandedOver();
     this->Actions.decided(KeyEvent::HandoverDone, "");
     break;
   case MapWrite::Takeover:
--- a/mesh/KeyKeeper.h
+++ b/mesh/KeyKeeper.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "mesh/KeyAccess.h"
-#include "mesh/KeyPlanner.h"
+#include "mesh/KeyGifts.h"
+#include "mesh/LeaseBook.h"
 #include "mesh/MeshView.h"
 #include "mesh/OfferBook.h"
 #include "mesh/OwnLease.h"
@@ -117,7 +118,9 @@
                      const std::optional<OfferAnswer> &Answer, TimePoint Now);
 
   /// \p Other has told its load.
-  void onLoadSeen(const InstanceId &Other, double Load);
+  void onLoadSeen(const InstanceId &Other, double Load) {
+    this->Leases.setLoad(Other, Load);
+  }
 
   /// Whether keys that others promised are still to come: the next report is
   /// then better answered a little later.
@@ -169,36 +172,13 @@
   Duration holdTime() const;
 
 private:
-  /// Keys on their way to another instance.
-  struct Gift {
-    KeySpan Keys;
-    KeyHolder To;
-    TimePoint Since;
-
-    /// The backend server is sent requests for them until then.
-    TimePoint ServedUntil;
-
-    /// The backend server cannot hold them any more from then on.
-    TimePoint HoldEnd;
-    std::vector<ReleasedKeys> Released;
-
-    /// Nobody holds them; they are in the write that is under way.
-    bool LetGo = false;
-  };
-
   enum class MapWrite { None, FirstLayout, Adopt, Handover, Lost, Takeover };
 
-  struct LeaseSeen {
-    KeyLease Row;
-    RowVersion Version = 0;
-  };
-
   const std::string &service() const { return this->Report.Service; }
   KeyHolder self() const { return {this->Instance, this->Report.Run}; }
   const MeshView::VersionedKeyMap *map() const;
   bool mayAct(TimePoint Now) const;
   bool serverLost(TimePoint Now) const;
-  bool isGiving(const KeySpan &Keys) const;
   bool inDoubt() const;
   void settleDoubt();
 
@@ -212,8 +192,6 @@
   void planGifts(TimePoint Now);
   void planLeaving(TimePoint Now);
   void begin(const PlannedGift &Planned, TimePoint Now);
-  void noteReleases(const ServerReport &Report);
-  static bool hasLetGo(const Gift &Given, TimePoint Now);
   void dropStaleGifts(TimePoint Now);
 
   double loadLeft(TimePoint Now) const;
@@ -250,7 +228,7 @@
   /// It may hold keys until then, whatever its clock and the way there did.
   TimePoint HoldEnd;
 
-  std::vector<Gift> Gifts;
+  KeyGifts Gifts;
   MapWrite Writing = MapWrite::None;
 
   /// To whom the write that is under way gives keys.
@@ -263,8 +241,7 @@
   TimePoint WriteRetryAt;
   TimePoint NextGiftAt;
 
-  std::map<InstanceId, LeaseSeen> Leases;
-  std::optional<Duration> LeasesAt;
+  LeaseBook Leases;
   bool LeasesWanted = true;
   bool LeasesAsked = false;
   TimePoint NextLeasesAt;
