daemon: a change of settings told during the start ends no process

Ruled out: ports still in use (a failed listen is logged; the logs end with the process before), the daemon's stop (exit code 0).

Change: main ignores SIGHUP first of all; the mesh's handler replaces that.

Before, after: ReloadDuringStart red (ended by signal 1), then green.

--- a/daemon/hemlockspard.cpp
+++ b/daemon/hemlockspard.cpp
@@ -4,6 +4,7 @@
 
 #include "core/Log.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <gflags/gflags.h>
@@ -62,6 +63,10 @@
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
+  // Whoever changes the settings may say so before they are read; that must not
+  // end the process.
+  std::signal(SIGHUP, SIG_IGN);
+
   gflags::SetUsageMessage("routes requests to the owners of their keys\n"
                           "  hemlockspard --settings FILE [--check_settings]");
   gflags::SetVersionString(hemlockspar::ProductVersion);
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -25,6 +25,7 @@
 constexpr std::uint16_t ServerPort = 8090;
 constexpr std::uint16_t MetricsPort = 8084;
 constexpr std::uint16_t StorePort = 7000;
+constexpr char StartedLine[] = "daemon event=started";
 constexpr auto CallTimeout = std::chrono::seconds(10);
 constexpr auto PollInterval = std::chrono::milliseconds(20);
 
@@ -191,6 +192,17 @@
   posix_spawn(&Pid, Program.c_str(), &Actions, nullptr, Words.data(), environ);
   posix_spawn_file_actions_destroy(&Actions);
   this->Daemons[Index] = Pid;
+  ++this->Starts[Index];
+}
+
+bool PlatformMesh::hasStarted(int Index) const {
+  std::string Log = this->logOf(Index);
+  int Seen = 0;
+  for (std::size_t Place = Log.find(StartedLine); Place != std::string::npos;
+       Place = Log.find(StartedLine, Place + 1)) {
+    ++Seen;
+  }
+  return Seen == this->Starts.at(Index);
 }
 
 void PlatformMesh::signalDaemon(int Index, int Signal) {
--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -41,6 +41,9 @@
   void declare(std::uint64_t Version, const std::string &Extra = "");
 
   void startDaemon(int Index);
+
+  /// Whether the process that was started last has said that it serves.
+  bool hasStarted(int Index) const;
   void signalDaemon(int Index, int Signal);
 
   /// Waits for the process to end; its exit code, or -1 for a signal.
@@ -112,6 +115,9 @@
   std::thread Runner;
   HoldLedger *Ledger = nullptr;
   std::map<int, pid_t> Daemons;
+
+  /// How often each daemon was started.
+  std::map<int, int> Starts;
   BlockingClient Client;
   int LastRequest = 0;
 };
--- a/tests/mesh/PlatformMeshTest.cpp
+++ b/tests/mesh/PlatformMeshTest.cpp
@@ -3,6 +3,12 @@
 #include <absl/strings/str_cat.h>
 #include <criterion/criterion.h>
 #include <csignal>
+#include <fstream>
+#include <spawn.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+
+extern char **environ;
 
 using namespace hemlockspar;
 using std::chrono::milliseconds;
@@ -335,3 +341,31 @@
     cr_assert(BootClock::now() - SentAt < milliseconds(1400));
   }
 }
+
+/// Word of changed settings that comes before they have been read ends no
+/// process: it reads them and starts.
+Test(PlatformMesh, ReloadDuringStart) {
+  std::string Path = "/tmp/hemlockspar-settings-" + std::to_string(getpid());
+  unlink(Path.c_str());
+  cr_assert_eq(mkfifo(Path.c_str(), 0600), 0);
+  const char *Root = std::getenv("HEMLOCKSPAR_BIN");
+  std::string Program =
+      std::string(Root ? Root : "build") + "/daemon/hemlockspard";
+  std::string Settings = "--settings=" + Path;
+  std::vector<char *> Words = {Program.data(), Settings.data(), nullptr};
+  pid_t Pid = 0;
+  cr_assert_eq(posix_spawn(&Pid, Program.c_str(), nullptr, nullptr,
+                           Words.data(), environ),
+               0);
+
+  // Opening waits for the process to read, which it does after its start.
+  std::ofstream Writer(Path);
+  kill(Pid, SIGHUP);
+  Writer << "neither: sound\n";
+  Writer.close();
+  int Status = 0;
+  waitpid(Pid, &Status, 0);
+  unlink(Path.c_str());
+  cr_assert(WIFEXITED(Status), "ended by signal %d", WTERMSIG(Status));
+  cr_assert_eq(WEXITSTATUS(Status), 2, "unsound settings are refused");
+}
