--- a/mesh/Gate.cpp
+++ b/mesh/Gate.cpp
@@ -45,6 +45,15 @@
   return Bounds;
 }
 
+QueuedRequest queuedOf(const TryTerms &Terms, TimePoint Now) {
+  QueuedRequest Queued;
+  Queued.Class = Terms.RouteName;
+  Queued.Rank = Terms.Rank;
+  Queued.ArrivedAt = Now;
+  Queued.Deadline = Terms.GiveUpAt;
+  return Queued;
+}
+
 AdmissionLimits fixedLimits() {
   AdmissionLimits Limits;
   Limits.Adaptive = false;
@@ -106,8 +115,8 @@
   return true;
 }
 
-Duration Gate::expectedWait(std::uint32_t Rank) const {
-  double Wait = static_cast<double>(this->Queue.mustStartFirst(Rank)) *
+Duration Gate::expectedWait(const QueuedRequest &Fresh) const {
+  double Wait = static_cast<double>(this->Queue.mustStartFirst(Fresh)) *
                 this->MeanSeconds / this->Queue.limit();
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(Wait));
@@ -131,9 +140,10 @@
   this->Queue.setCapacity(
       std::max<std::uint32_t>(this->Server.report().Slots, 1));
   this->noteDemand(Terms, BootClock::now());
-  Duration Wait = this->expectedWait(Terms.Rank);
   TimePoint Now = BootClock::now();
-  this->Standing.onArrival(Terms.Rank, this->Queue.mustStartFirst(Terms.Rank),
+  QueuedRequest Fresh = queuedOf(Terms, Now);
+  Duration Wait = this->expectedWait(Fresh);
+  this->Standing.onArrival(Terms.Rank, this->Queue.mustStartFirst(Fresh),
                            this->Queue.limit(), Now);
   Duration Longest =
       longestWait({Terms.MaxWait, Terms.AimAt - Now, Terms.GiveUpAt - Now,
@@ -147,7 +157,7 @@
 
   RequestNumber Number = ++this->LastNumber;
   if (!this->admit(Number, Terms, Watch, Yield)) {
-    TryResult Refusal = tryNotRun(TryReason::Busy, this->expectedWait(0));
+    TryResult Refusal = tryNotRun(TryReason::Busy, this->expectedWait(Fresh));
     Refusal.Load = this->load();
     return Refusal;
   }
@@ -177,12 +187,8 @@
   this->Waiters[Number] = &Turn;
   this->noteBusy(BootClock::now());
 
-  QueuedRequest Queued;
+  QueuedRequest Queued = queuedOf(Terms, BootClock::now());
   Queued.Number = Number;
-  Queued.Class = Terms.RouteName;
-  Queued.Rank = Terms.Rank;
-  Queued.ArrivedAt = BootClock::now();
-  Queued.Deadline = Terms.GiveUpAt;
   this->Queue.offer(Queued, Queued.ArrivedAt);
   this->applyVerdicts();
 
@@ -270,7 +276,7 @@
                                     ? TryReason::ServerRefused
                                     : TryReason::NotOwner);
   Refusal.Reached = true;
-  Refusal.Wait = this->expectedWait(Terms.Rank);
+  Refusal.Wait = this->expectedWait(queuedOf(Terms, BootClock::now()));
   return Refusal;
 }
 
--- a/mesh/Ingress.cpp
+++ b/mesh/Ingress.cpp
@@ -453,6 +453,7 @@
       .with("configuration", static_cast<long long>(Way.InForce->Version))
       .with("service", Way.Terms.Service)
       .with("key", Way.Terms.Key ? static_cast<long long>(*Way.Terms.Key) : -1)
+      .with("rank", static_cast<long long>(Way.Terms.Rank))
       .with("instance", Way.Last)
       .with("reached", Way.Reached)
       .with("refusals", static_cast<long long>(Way.Refusals))
