--- a/tests/mesh/ViewCodecTest.cpp
+++ b/tests/mesh/ViewCodecTest.cpp
@@ -37,6 +37,7 @@
                            R"([{"table":"t","to":1,"rows":[["k",-1,"v"]]}])"}) {
     cr_assert(!viewcodec::decodeRows(Text), "%s", Text);
   }
-  cr_assert(rc::check("any bytes are refused or read",
-                      [](std::string Text) { viewcodec::decodeRows(Text); }));
+  cr_assert(
+      rc::check("any bytes are refused or read",
+                [](const std::string &Text) { viewcodec::decodeRows(Text); }));
 }
