--- a/coordination/AdmissionQueue.cpp
+++ b/coordination/AdmissionQueue.cpp
@@ -122,8 +122,8 @@
   return std::max<std::uint32_t>(static_cast<std::uint32_t>(this->Limit), 1);
 }
 
-std::size_t AdmissionQueue::mustStartFirst(const QueuedRequest &Fresh) const {
-  std::size_t Occupied = this->running() + this->Discipline->aheadOf(Fresh) + 1;
+std::size_t AdmissionQueue::mustStartFirst(std::uint32_t Rank) const {
+  std::size_t Occupied = this->running() + this->Discipline->aheadOf(Rank) + 1;
   return Occupied > this->limit() ? Occupied - this->limit() : 0;
 }
 
--- a/coordination/AdmissionQueue.h
+++ b/coordination/AdmissionQueue.h
@@ -61,8 +61,8 @@
   std::size_t waiting() const { return this->Discipline->size(); }
   std::size_t running() const { return this->Running.size(); }
 
-  /// Requests that have to start before \p Fresh, were it offered, may.
-  std::size_t mustStartFirst(const QueuedRequest &Fresh) const;
+  /// Requests that have to start before a new one of \p Rank may.
+  std::size_t mustStartFirst(std::uint32_t Rank) const;
   std::uint32_t limit() const;
 
   /// How long a request offered now would wait, as far as can be told.
--- a/coordination/QueueDiscipline.cpp
+++ b/coordination/QueueDiscipline.cpp
@@ -18,10 +18,6 @@
 /// square root of the latter: arrivals at random moments vary by that much.
 constexpr double ShortHeadroom = 0.25;
 
-/// A request is overtaken by shorter ones of its rank that arrive up to this
-/// many times the difference of their mean times after it.
-constexpr double ShortLead = 2.0;
-
 /// Long requests may always use this part of the slots.
 constexpr std::uint32_t LongMinimumDivisor = 4;
 
@@ -227,7 +223,7 @@
     : Learned(Learned) {}
 
 void UrgencyDiscipline::push(const QueuedRequest &Request) {
-  this->Waiting[this->placeOf(Request)] = Request;
+  this->Waiting[{Request.Rank, Request.ArrivedAt, Request.Number}] = Request;
 }
 
 std::optional<QueuedRequest> UrgencyDiscipline::pop(std::uint32_t, TimePoint) {
@@ -259,16 +255,12 @@
 
 void UrgencyDiscipline::onFinished(const QueuedRequest &) {}
 
-UrgencyDiscipline::Place
-UrgencyDiscipline::placeOf(const QueuedRequest &Request) const {
-  auto Handicap = std::chrono::duration_cast<Duration>(
-      this->Learned.expected(Request.Class) * ShortLead);
-  return {Request.Rank, Request.ArrivedAt + Handicap, Request.Number};
-}
-
-std::size_t UrgencyDiscipline::aheadOf(const QueuedRequest &Fresh) const {
-  auto First = this->Waiting.lower_bound(this->placeOf(Fresh));
-  return static_cast<std::size_t>(std::distance(this->Waiting.begin(), First));
+std::size_t UrgencyDiscipline::aheadOf(std::uint32_t Rank) const {
+  std::size_t Count = 0;
+  for (const auto &[At, Request] : this->Waiting) {
+    Count += Request.Rank <= Rank ? 1 : 0;
+  }
+  return Count;
 }
 
 std::unique_ptr<QueueDiscipline> makeDiscipline(QueueOrder Order,
--- a/coordination/QueueDiscipline.h
+++ b/coordination/QueueDiscipline.h
@@ -60,9 +60,9 @@
 
   virtual std::size_t size() const = 0;
 
-  /// Waiting requests that go before \p Fresh, which is not among them.
-  virtual std::size_t aheadOf(const QueuedRequest &Fresh) const {
-    (void)Fresh;
+  /// Waiting requests that go before a new one of \p Rank.
+  virtual std::size_t aheadOf(std::uint32_t Rank) const {
+    (void)Rank;
     return this->size();
   }
 };
@@ -134,12 +134,10 @@
   std::optional<TimePoint> LastShortArrival;
 };
 
-/// Lower ranks first; within a rank the oldest first, but for a lead that
-/// requests have by as much as they are shorter than others; drops requests
-/// that can no longer be answered in time. Answers an overload in which calls
-/// that other requests wait for, and urgent requests, must not queue behind the
-/// rest: a call of a quarter of an order's time holds up a run elsewhere. The
-/// lead is bounded, so that nothing waits for ever.
+/// Lower ranks first, the oldest first within a rank; drops requests that can
+/// no longer be answered in time. Answers an overload in which calls that
+/// other requests wait for, and urgent requests, must not queue behind the
+/// rest.
 class UrgencyDiscipline : public QueueDiscipline {
 public:
   explicit UrgencyDiscipline(const ServiceTimes &Learned);
@@ -150,13 +148,11 @@
   std::vector<QueuedRequest> removeLate(TimePoint Now) override;
   void onFinished(const QueuedRequest &Request) override;
   std::size_t size() const override { return this->Waiting.size(); }
-  std::size_t aheadOf(const QueuedRequest &Fresh) const override;
+  std::size_t aheadOf(std::uint32_t Rank) const override;
 
 private:
   using Place = std::tuple<std::uint32_t, TimePoint, RequestNumber>;
 
-  Place placeOf(const QueuedRequest &Request) const;
-
   const ServiceTimes &Learned;
   std::map<Place, QueuedRequest> Waiting;
 };
--- a/mesh/Gate.cpp
+++ b/mesh/Gate.cpp
@@ -45,15 +45,6 @@
   return Bounds;
 }
 
-QueuedRequest queuedOf(const TryTerms &Terms, TimePoint Now) {
-  QueuedRequest Queued;
-  Queued.Class = Terms.RouteName;
-  Queued.Rank = Terms.Rank;
-  Queued.ArrivedAt = Now;
-  Queued.Deadline = Terms.GiveUpAt;
-  return Queued;
-}
-
 AdmissionLimits fixedLimits() {
   AdmissionLimits Limits;
   Limits.Adaptive = false;
@@ -115,8 +106,8 @@
   return true;
 }
 
-Duration Gate::expectedWait(const QueuedRequest &Fresh) const {
-  double Wait = static_cast<double>(this->Queue.mustStartFirst(Fresh)) *
+Duration Gate::expectedWait(std::uint32_t Rank) const {
+  double Wait = static_cast<double>(this->Queue.mustStartFirst(Rank)) *
                 this->MeanSeconds / this->Queue.limit();
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(Wait));
@@ -140,10 +131,9 @@
   this->Queue.setCapacity(
       std::max<std::uint32_t>(this->Server.report().Slots, 1));
   this->noteDemand(Terms, BootClock::now());
+  Duration Wait = this->expectedWait(Terms.Rank);
   TimePoint Now = BootClock::now();
-  QueuedRequest Fresh = queuedOf(Terms, Now);
-  Duration Wait = this->expectedWait(Fresh);
-  this->Standing.onArrival(Terms.Rank, this->Queue.mustStartFirst(Fresh),
+  this->Standing.onArrival(Terms.Rank, this->Queue.mustStartFirst(Terms.Rank),
                            this->Queue.limit(), Now);
   Duration Longest =
       longestWait({Terms.MaxWait, Terms.AimAt - Now, Terms.GiveUpAt - Now,
@@ -157,7 +147,7 @@
 
   RequestNumber Number = ++this->LastNumber;
   if (!this->admit(Number, Terms, Watch, Yield)) {
-    TryResult Refusal = tryNotRun(TryReason::Busy, this->expectedWait(Fresh));
+    TryResult Refusal = tryNotRun(TryReason::Busy, this->expectedWait(0));
     Refusal.Load = this->load();
     return Refusal;
   }
@@ -187,8 +177,12 @@
   this->Waiters[Number] = &Turn;
   this->noteBusy(BootClock::now());
 
-  QueuedRequest Queued = queuedOf(Terms, BootClock::now());
+  QueuedRequest Queued;
   Queued.Number = Number;
+  Queued.Class = Terms.RouteName;
+  Queued.Rank = Terms.Rank;
+  Queued.ArrivedAt = BootClock::now();
+  Queued.Deadline = Terms.GiveUpAt;
   this->Queue.offer(Queued, Queued.ArrivedAt);
   this->applyVerdicts();
 
@@ -276,7 +270,7 @@
                                     ? TryReason::ServerRefused
                                     : TryReason::NotOwner);
   Refusal.Reached = true;
-  Refusal.Wait = this->expectedWait(queuedOf(Terms, BootClock::now()));
+  Refusal.Wait = this->expectedWait(Terms.Rank);
   return Refusal;
 }
 
--- a/mesh/Gate.h
+++ b/mesh/Gate.h
@@ -43,7 +43,7 @@
 
   std::optional<TryResult> check(const TryTerms &Terms) const;
   bool awaitKey(const TryTerms &Terms, const boost::asio::yield_context &Yield);
-  Duration expectedWait(const QueuedRequest &Fresh) const;
+  Duration expectedWait(std::uint32_t Rank) const;
   bool admit(RequestNumber Number, const TryTerms &Terms, CallerWatch &Watch,
              const boost::asio::yield_context &Yield);
   void applyVerdicts();
