net: responses are read while the request is sent; bytes without end are bounded

Now: the request is sent and the response read side by side; a connection whose request was not sent whole is closed. Unparsed bytes are limited to 256 KiB a connection, all bodies of one client together to 24 MiB, except small ones. Ruled out, by the new tests on this code: a late second copy of an answer (told by its request id, on connections in use and idle), an answer that breaks off (closed or reset, with length, in chunks, in the head), bytes after a complete answer.

--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -1,9 +1,9 @@
 #include "net/HttpClient.h"
 
 #include "core/EnumNames.h"
+#include "net/Event.h"
 #include "net/Peek.h"
 
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -27,6 +27,17 @@
 constexpr std::array<const char *, 4> OutcomeNames = {"answered", "not_sent",
                                                       "too_late", "ambiguous"};
 
+/// A response body up to this size is received whatever the others occupy.
+constexpr std::uint64_t SmallBodyBytes = 64 << 10;
+
+/// Progress of sending a request.
+struct SendState {
+  explicit SendState(asio::io_context &Io) : Done(Io) {}
+
+  Event Done;
+  bool Finished = false;
+};
+
 Duration remaining(TimePoint Deadline) {
   return std::max(Deadline - BootClock::now(), Duration::zero());
 }
@@ -157,7 +168,6 @@
 ExchangeResult HttpClient::sendRequest(Connection &Conn, HttpRequest &Request,
                                        const ExchangeOptions &Options,
                                        const asio::yield_context &Yield) {
-  error_code Error;
   Request.prepare_payload();
 
   Conn.Stream.expires_after(remaining(Options.Deadline));
@@ -170,13 +180,45 @@
                           "the last time to send has passed");
   }
 
-  http::async_write(Conn.Stream, Request, Yield[Error]);
-  if (Error) {
-    return failedExchange(ExchangeOutcome::Ambiguous,
-                          "send: " + Error.message());
+  // The response is read meanwhile: a server may answer before it has read a
+  // long body, and read no further.
+  auto Sending = std::make_shared<SendState>(this->Io);
+  http::async_write(Conn.Stream, Request,
+                    [Sending](const error_code &, std::size_t) {
+                      Sending->Finished = true;
+                      Sending->Done.set();
+                    });
+  ExchangeResult Result = this->readResponse(Conn, Request, Options, Yield);
+  if (!Sending->Finished) {
+    Conn.Stream.close();
+    Sending->Done.wait(Yield);
+    Result.Response.keep_alive(false);
+    return Result;
+  }
+  if (Result.Outcome == ExchangeOutcome::Answered) {
+    Conn.Stream.expires_never();
   }
+  return Result;
+}
 
-  return this->readResponse(Conn, Request, Options, Yield);
+error_code HttpClient::readWhole(Connection &Conn, ResponseParser &Parser,
+                                 const asio::yield_context &Yield) {
+  error_code Error;
+  std::uint64_t Counted = 0;
+
+  while (!Error && !Parser.is_done()) {
+    http::async_read_some(Conn.Stream, Conn.Buffer, Parser, Yield[Error]);
+    std::uint64_t Size = Parser.get().body().size();
+    this->TotalBodyBytes += Size - Counted;
+    Counted = Size;
+    bool TooLarge = Size > SmallBodyBytes &&
+                    this->TotalBodyBytes > this->Bounds.MaxTotalBodyBytes;
+    if (!Error && TooLarge) {
+      Error = http::error::body_limit;
+    }
+  }
+  this->TotalBodyBytes -= Counted;
+  return Error;
 }
 
 ExchangeResult HttpClient::readResponse(Connection &Conn,
@@ -184,14 +226,13 @@
                                         const ExchangeOptions &Options,
                                         const asio::yield_context &Yield) {
   for (int Unmatched = 0; Unmatched <= MaxUnmatchedResponses; ++Unmatched) {
-    error_code Error;
-    http::response_parser<http::string_body> Parser;
+    ResponseParser Parser;
     Parser.body_limit(this->Bounds.MaxBodyBytes);
     if (Request.method() == http::verb::head) {
       Parser.skip(true);
     }
 
-    http::async_read(Conn.Stream, Conn.Buffer, Parser, Yield[Error]);
+    error_code Error = this->readWhole(Conn, Parser, Yield);
     if (Error) {
       return failedExchange(ExchangeOutcome::Ambiguous,
                             "receive: " + Error.message());
@@ -202,7 +243,6 @@
       continue;
     }
 
-    Conn.Stream.expires_never();
     Conn.UsableUntil = this->usableUntil(Response);
     ExchangeResult Result;
     Result.Outcome = ExchangeOutcome::Answered;
--- a/net/HttpClient.h
+++ b/net/HttpClient.h
@@ -9,6 +9,7 @@
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -73,6 +74,10 @@
     std::size_t MaxIdleConnections = 256;
     std::uint64_t MaxBodyBytes = 16 << 20;
 
+    /// Memory for the bodies of all responses that are being received. A
+    /// response that would exceed it is broken off, unless it is small.
+    std::uint64_t MaxTotalBodyBytes = 24 << 20;
+
     /// Source IP address of connections; empty for any.
     std::string LocalHost;
 
@@ -105,11 +110,17 @@
   void closeIdleExcept(const std::set<Address> &Kept);
 
 private:
+  using ResponseParser = http::response_parser<http::string_body>;
+
+  static constexpr std::size_t MaxUnparsedBytes = 256 << 10;
+
   struct Connection {
     explicit Connection(boost::asio::io_context &Io) : Stream(Io) {}
 
     boost::beast::tcp_stream Stream;
-    boost::beast::flat_buffer Buffer;
+
+    /// The limit also bounds what precedes a part of a chunked body.
+    boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
 
     /// The connection is not reused from this time on.
     TimePoint UsableUntil;
@@ -128,9 +139,14 @@
   ExchangeResult readResponse(Connection &Conn, const HttpRequest &Request,
                               const ExchangeOptions &Options,
                               const boost::asio::yield_context &Yield);
+  boost::system::error_code readWhole(Connection &Conn, ResponseParser &Parser,
+                                      const boost::asio::yield_context &Yield);
 
   boost::asio::io_context &Io;
   Limits Bounds;
+
+  /// Bytes of the bodies that are being received.
+  std::uint64_t TotalBodyBytes = 0;
   std::map<Address, std::vector<ConnectionPtr>> IdleConnections;
 };
 
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t ReadChunkBytes = 4096;
+constexpr std::size_t MaxUnparsedBytes = 256 << 10;
 
 /// How long a draining server waits for the first request of a new connection:
 /// about one round trip between regions plus scheduling delay.
@@ -55,7 +56,9 @@
       : Stream(std::move(Socket)) {}
 
   TcpStream Stream;
-  boost::beast::flat_buffer Buffer;
+
+  /// The limit also bounds what precedes a part of a chunked body.
+  boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
   bool Busy = false;
 
   /// Whether a request has been answered on this connection.
--- /dev/null
+++ b/tests/net/HttpClientFaultTest.cpp
@@ -0,0 +1,291 @@
+#include "net/Event.h"
+#include "net/HttpClient.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+using namespace hemlockspar;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// A server that misbehaves as a test scripts it, and a client, both on one
+/// thread.
+struct FaultFixture {
+  /// What the server does with one connection.
+  using Script =
+      std::function<void(tcp::socket &Socket, const asio::yield_context &)>;
+
+  explicit FaultFixture(Script OnConnection, HttpClient::Limits Bounds = {})
+      : Listener(Io, {asio::ip::make_address("127.0.0.1"), 0}),
+        OnConnection(std::move(OnConnection)), Client(Io, Bounds) {
+    this->accept();
+  }
+
+  void accept() {
+    this->Listener.async_accept(
+        [this](const error_code &Error, tcp::socket Socket) {
+          if (Error) {
+            return;
+          }
+          ++this->Connections;
+          asio::spawn(
+              this->Io,
+              [this, Peer = std::make_shared<tcp::socket>(std::move(Socket))](
+                  const asio::yield_context &Yield) {
+                this->OnConnection(*Peer, Yield);
+                error_code Ignored;
+                Peer->close(Ignored);
+              },
+              asio::detached);
+          this->accept();
+        });
+  }
+
+  /// Runs \p Steps with the client on the fixture's thread.
+  void run(const std::function<void(const asio::yield_context &)> &Steps) {
+    asio::spawn(
+        this->Io,
+        [&](const asio::yield_context &Yield) {
+          Steps(Yield);
+          this->Io.stop();
+        },
+        asio::detached);
+    this->Io.restart();
+    this->Io.run();
+  }
+
+  ExchangeResult exchange(const std::string &Id, const std::string &Body,
+                          Duration Time, const asio::yield_context &Yield) {
+    HttpRequest Request(http::verb::post, "/", 11);
+    Request.set("Request-Id", Id);
+    Request.body() = Body;
+    ExchangeOptions Options = {.Deadline = BootClock::now() + Time};
+    Options.MatchesRequest = [Id](const HttpResponse &Response) {
+      return headerValue(Response, "Request-Id") == Id;
+    };
+    tcp::endpoint At = this->Listener.local_endpoint();
+    return this->Client.exchange({"127.0.0.1", At.port()}, Request, Options,
+                                 Yield);
+  }
+
+  asio::io_context Io;
+  tcp::acceptor Listener;
+  Script OnConnection;
+  int Connections = 0;
+  HttpClient Client;
+};
+
+std::string readHead(tcp::socket &Socket, const asio::yield_context &Yield) {
+  std::string Text;
+  error_code Error;
+  std::size_t Size = asio::async_read_until(Socket, asio::dynamic_buffer(Text),
+                                            "\r\n\r\n", Yield[Error]);
+  return Error ? "" : Text.substr(0, Size);
+}
+
+std::string requestIdIn(const std::string &Head) {
+  constexpr std::string_view Name = "Request-Id: ";
+  std::size_t From = Head.find(Name) + Name.size();
+  return Head.substr(From, Head.find('\r', From) - From);
+}
+
+std::string answer(const std::string &Id, const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+bool send(tcp::socket &Socket, const std::string &Text,
+          const asio::yield_context &Yield) {
+  error_code Error;
+  asio::async_write(Socket, asio::buffer(Text), Yield[Error]);
+  return !Error;
+}
+
+/// Sends \p Head, then \p Part over and over until the client closes.
+FaultFixture::Script endless(const std::string &Head, const std::string &Part) {
+  return [Head, Part](tcp::socket &Socket, const asio::yield_context &Yield) {
+    readHead(Socket, Yield);
+    bool Open = send(Socket, Head, Yield);
+    while (Open) {
+      Open = send(Socket, Part, Yield);
+    }
+  };
+}
+
+} // namespace
+
+/// The server sends a second copy of each answer, late, when the connection is
+/// in use again: each caller must get the answer to its own request.
+Test(HttpClientFault, LateSecondCopyOfAnAnswer) {
+  FaultFixture Fixture(
+      [](tcp::socket &Socket, const asio::yield_context &Yield) {
+        std::string Previous;
+        while (true) {
+          std::string Head = readHead(Socket, Yield);
+          if (Head.empty()) {
+            return;
+          }
+          std::string Id = requestIdIn(Head);
+          if (!Previous.empty()) {
+            send(Socket, answer(Previous, "for " + Previous), Yield);
+          }
+          send(Socket, answer(Id, "for " + Id), Yield);
+          Previous = Id;
+        }
+      });
+
+  Fixture.run([&](const asio::yield_context &Yield) {
+    for (const char *Id : {"a", "b", "c", "d"}) {
+      ExchangeResult Result = Fixture.exchange(Id, "", seconds(2), Yield);
+      cr_assert(Result.Outcome == ExchangeOutcome::Answered);
+      cr_assert(Result.Response.body() == std::string("for ") + Id);
+    }
+  });
+}
+
+/// A second copy that arrives while the connection is idle must not be read as
+/// the next answer.
+Test(HttpClientFault, SecondCopyOnAnIdleConnection) {
+  FaultFixture Fixture(
+      [](tcp::socket &Socket, const asio::yield_context &Yield) {
+        while (true) {
+          std::string Head = readHead(Socket, Yield);
+          if (Head.empty()) {
+            return;
+          }
+          std::string Id = requestIdIn(Head);
+          send(Socket, answer(Id, Id), Yield);
+          send(Socket, answer(Id, Id), Yield);
+        }
+      });
+
+  Fixture.run([&](const asio::yield_context &Yield) {
+    for (const char *Id : {"a", "b", "c"}) {
+      ExchangeResult Result = Fixture.exchange(Id, "", seconds(2), Yield);
+      cr_assert(Result.Outcome == ExchangeOutcome::Answered);
+      cr_assert_eq(Result.Response.body(), Id);
+      sleepFor(Fixture.Io, milliseconds(20), Yield);
+    }
+  });
+}
+
+/// An answer that breaks off halfway must not count as complete, whether the
+/// connection is closed or reset, with a length or in chunks.
+Test(HttpClientFault, AnswerThatBreaksOff) {
+  for (const char *Start :
+       {"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 100\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "4\r\nhalf\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"}) {
+    for (bool Reset : {false, true}) {
+      FaultFixture Fixture(
+          [&](tcp::socket &Socket, const asio::yield_context &Yield) {
+            readHead(Socket, Yield);
+            send(Socket, Start, Yield);
+            sleepFor(Fixture.Io, milliseconds(20), Yield);
+            Socket.set_option(asio::socket_base::linger(Reset, 0));
+          });
+      Fixture.run([&](const asio::yield_context &Yield) {
+        ExchangeResult Result = Fixture.exchange("a", "", seconds(2), Yield);
+        cr_assert(Result.Outcome == ExchangeOutcome::Ambiguous, "accepted: %s",
+                  Start);
+      });
+    }
+  }
+}
+
+/// An answer without a length ends with its connection; a reset is no end.
+Test(HttpClientFault, ResetEndsNoAnswerWithoutLength) {
+  for (bool Reset : {false, true}) {
+    FaultFixture Fixture(
+        [&](tcp::socket &Socket, const asio::yield_context &Yield) {
+          readHead(Socket, Yield);
+          send(Socket, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nbody", Yield);
+          sleepFor(Fixture.Io, milliseconds(20), Yield);
+          Socket.set_option(asio::socket_base::linger(Reset, 0));
+        });
+    Fixture.run([&](const asio::yield_context &Yield) {
+      ExchangeResult Result = Fixture.exchange("a", "", seconds(2), Yield);
+      cr_assert(Result.Outcome == (Reset ? ExchangeOutcome::Ambiguous
+                                         : ExchangeOutcome::Answered));
+    });
+  }
+}
+
+/// Bytes without end, in a head or in a body, with a length or in chunks: the
+/// exchange must end, with little memory in use, long before its deadline.
+Test(HttpClientFault, BytesWithoutEnd) {
+  const std::string Ok = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
+  const std::string Noise(16384, 'x');
+  HttpClient::Limits Bounds;
+  Bounds.MaxTotalBodyBytes = 1 << 20;
+  const std::vector<std::pair<std::string, std::string>> Kinds = {
+      {"", Noise},
+      {"HTTP/1.1 200 OK\r\nX: ", Noise},
+      {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", answer("other", "z")},
+      {Ok + "Content-Length: 99999999999999\r\n\r\n", Noise},
+      {Ok + "\r\n", Noise},
+      {Ok + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + Noise + "\r\n"},
+      {Ok + "Transfer-Encoding: chunked\r\n\r\n4;", Noise},
+      {Ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", Noise}};
+
+  for (const auto &[Head, Part] : Kinds) {
+    FaultFixture Fixture(endless(Head, Part), Bounds);
+    Fixture.run([&](const asio::yield_context &Yield) {
+      TimePoint StartedAt = BootClock::now();
+      ExchangeResult Result = Fixture.exchange("a", "", seconds(20), Yield);
+      cr_assert(Result.Outcome == ExchangeOutcome::Ambiguous,
+                "accepted after %s", Head.c_str());
+      cr_assert(BootClock::now() - StartedAt < seconds(10),
+                "read to the deadline after %s", Head.c_str());
+    });
+  }
+}
+
+/// Bytes without end after a complete answer belong to no request: the answer
+/// counts, and the connection is not used again.
+Test(HttpClientFault, BytesWithoutEndAfterAnAnswer) {
+  FaultFixture Fixture(endless(answer("a", "whole"), "garbage"));
+  Fixture.run([&](const asio::yield_context &Yield) {
+    for (int Round = 1; Round <= 3; ++Round) {
+      ExchangeResult Result = Fixture.exchange("a", "", seconds(2), Yield);
+      cr_assert(Result.Outcome == ExchangeOutcome::Answered);
+      cr_assert_eq(Result.Response.body(), "whole");
+      cr_assert_eq(Fixture.Connections, Round);
+    }
+  });
+}
+
+/// A server may answer before it has read a long body and read no further: the
+/// answer must arrive at once, and the connection must not be used again, since
+/// the server expects the rest of the body there.
+Test(HttpClientFault, AnswerBeforeALongBodyIsRead) {
+  FaultFixture Fixture(
+      [&](tcp::socket &Socket, const asio::yield_context &Yield) {
+        readHead(Socket, Yield);
+        send(Socket, answer("a", "early"), Yield);
+        sleepFor(Fixture.Io, seconds(5), Yield);
+      });
+  Fixture.run([&](const asio::yield_context &Yield) {
+    const std::string Long(32 << 20, 'b');
+    TimePoint StartedAt = BootClock::now();
+    for (int Round = 1; Round <= 2; ++Round) {
+      ExchangeResult Result = Fixture.exchange("a", Long, seconds(20), Yield);
+      cr_assert(Result.Outcome == ExchangeOutcome::Answered);
+      cr_assert_eq(Result.Response.body(), "early");
+      cr_assert_eq(Fixture.Connections, Round);
+    }
+    cr_assert(BootClock::now() - StartedAt < seconds(3));
+  });
+}
