Large bodies are admitted to a machine's link before they are sent

Load pattern: uploads faster than the link. Weighed: loads told in answers (old, so uploads arrive in herds); reading bodies slowly (the network's queue stays full of them). The question costs a round trip.

--- a/mesh/BackendDispatcher.cpp
+++ b/mesh/BackendDispatcher.cpp
@@ -119,6 +119,29 @@
       std::chrono::duration<double>(Wait));
 }
 
+Duration BackendDispatcher::maxWait(const AttemptContext &Context,
+                                    TimePoint Now) const {
+  return maxQueueWait({Context.MaxWait, Context.ObjectiveAt - Now,
+                       Context.Deadline - Now,
+                       this->RouteTimes.expected(Context.RouteName),
+                       this->Standing.stands(Context.Rank, Now)});
+}
+
+bool BackendDispatcher::mayAdmit(const AttemptContext &Context,
+                                 AttemptResult &Refusal) {
+  if (auto Unavailable = this->checkServer(Context)) {
+    Refusal = std::move(*Unavailable);
+    return false;
+  }
+  Duration Wait = this->expectedWait(Context.Rank);
+  if (Wait > this->maxWait(Context, BootClock::now())) {
+    Refusal = notRunResult(AttemptReason::Busy, Wait);
+    Refusal.Load = this->load();
+    return false;
+  }
+  return true;
+}
+
 AttemptResult BackendDispatcher::serve(HttpRequest &Request,
                                        const AttemptContext &Context,
                                        CallerWatch &Watch,
@@ -144,11 +167,7 @@
   this->Standing.onArrival(Context.Rank,
                            this->Queue.countStartsBefore(Context.Rank),
                            this->Queue.limit(), Now);
-  Duration MaxWait = maxQueueWait({Context.MaxWait, Context.ObjectiveAt - Now,
-                                   Context.Deadline - Now,
-                                   this->RouteTimes.expected(Context.RouteName),
-                                   this->Standing.stands(Context.Rank, Now)});
-  if (Wait > MaxWait) {
+  if (Wait > this->maxWait(Context, Now)) {
     AttemptResult Refusal = notRunResult(AttemptReason::Busy, Wait);
     Refusal.Load = this->load();
     return Refusal;
--- a/mesh/BackendDispatcher.h
+++ b/mesh/BackendDispatcher.h
@@ -28,6 +28,10 @@
                       CallerWatch &Watch,
                       const boost::asio::yield_context &Yield);
 
+  /// Whether a request with \p Context would be admitted now. Otherwise
+  /// \p Refusal is its result.
+  bool mayAdmit(const AttemptContext &Context, AttemptResult &Refusal);
+
   ServerLoad load() const;
 
   /// Returns the offered load relative to the number of slots, smoothed and
@@ -47,6 +51,7 @@
   bool waitForKey(const AttemptContext &Context,
                   const boost::asio::yield_context &Yield);
   Duration expectedWait(std::uint32_t Rank) const;
+  Duration maxWait(const AttemptContext &Context, TimePoint Now) const;
   bool admit(RequestNumber Number, const AttemptContext &Context,
              CallerWatch &Watch, const boost::asio::yield_context &Yield);
   void applyVerdicts();
--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr char Header[] = "Hs-Hop";
+
+/// Size of a body whose admission is asked for.
+constexpr char AdmissionHeader[] = "Hs-Body-Bytes";
 constexpr std::size_t ContextFieldCount = 9;
 constexpr std::size_t ResultFieldCount = 17;
 
@@ -136,6 +139,22 @@
   return Result;
 }
 
-void erase(http::fields &Fields) { Fields.erase(Header); }
+HttpRequest makeAdmissionRequest(const AttemptContext &Context,
+                                 std::uint64_t Bytes, TimePoint Now) {
+  HttpRequest Request(http::verb::get, "/", 11);
+  Request.set(http::field::host, "peer");
+  Request.set(AdmissionHeader, std::to_string(Bytes));
+  writeContext(Request, Context, Now);
+  return Request;
+}
+
+std::optional<std::uint64_t> parseAdmissionRequest(const HttpRequest &Request) {
+  return numericHeaderValue(Request, AdmissionHeader);
+}
+
+void erase(http::fields &Fields) {
+  Fields.erase(Header);
+  Fields.erase(AdmissionHeader);
+}
 
 } // namespace hemlockspar::hop
--- a/mesh/HopCodec.h
+++ b/mesh/HopCodec.h
@@ -24,6 +24,15 @@
 /// Unknown.
 AttemptResult takeResult(HttpResponse Response);
 
+/// Makes the request that asks a daemon to admit a body of \p Bytes, before it
+/// is sent in a request with \p Context.
+HttpRequest makeAdmissionRequest(const AttemptContext &Context,
+                                 std::uint64_t Bytes, TimePoint Now);
+
+/// The size of the body when \p Request asks for its admission; nothing
+/// otherwise.
+std::optional<std::uint64_t> parseAdmissionRequest(const HttpRequest &Request);
+
 /// Removes the header from callers' requests.
 void erase(http::fields &Fields);
 
--- a/mesh/MeshSettings.cpp
+++ b/mesh/MeshSettings.cpp
@@ -81,6 +81,7 @@
   Section.readDuration("stop_time", MinDuration, MaxDuration, false,
                        Result.StopTime);
   Section.readNumber("connections", 16, 100000, false, Result.MaxConnections);
+  Section.readDouble("link_mbps", 0, 1000000, false, Result.LinkMbps);
   readListen(Section.section("listen"), Result);
   readServer(Section.section("server"), Result);
   readRetries(Section.section("repeats"), Result);
--- a/mesh/MeshSettings.h
+++ b/mesh/MeshSettings.h
@@ -68,6 +68,9 @@
   /// ones wait to be accepted.
   std::size_t MaxConnections = 2000;
 
+  /// Rate of this machine's link in Mbit/s; 0 when it is not limited.
+  double LinkMbps = 0;
+
   std::string LogLevel = "info";
 };
 
--- a/mesh/RequestRouter.cpp
+++ b/mesh/RequestRouter.cpp
@@ -37,6 +37,13 @@
 /// Refusals by instances after which a request fails.
 constexpr std::size_t MaxRefusals = 4;
 
+/// Fraction of the time to the latency objective that a large body may wait for
+/// the link of an instance, before another instance is tried.
+constexpr double LinkWaitShare = 0.3;
+
+/// Bytes per second of a rate of 1 Mbit/s.
+constexpr double BytesPerMbit = 1e6 / 8;
+
 /// Minimum Retry-After, randomised by up to the same amount again, so that
 /// callers do not all return at once.
 constexpr auto MinRetryAfter = std::chrono::milliseconds(150);
@@ -106,7 +113,7 @@
       LocalDispatcher(LocalDispatcher), HeaderCodec(Codec), Events(Events),
       Counters(Counters), PeerClient(Io, peerLimits(Config)),
       Picker(Config.Region, Config.DataCenter, seedOf(Config.Instance)),
-      Budget(retryLimitsOf(Config)),
+      Budget(retryLimitsOf(Config)), Link(Config.LinkMbps * BytesPerMbit),
       Random(seedOf(Config.Instance + "/targets")) {}
 
 HttpResponse RequestRouter::errorAnswer(http::status Status,
@@ -347,11 +354,63 @@
   return Result;
 }
 
+std::optional<AttemptResult> RequestRouter::requestAdmission(
+    const InstanceRow &Row, std::uint64_t Bytes, const AttemptContext &Context,
+    CallerWatch &Watch, const asio::yield_context &Yield) {
+  HttpRequest Request =
+      hop::makeAdmissionRequest(Context, Bytes, BootClock::now());
+  ExchangeOptions Bounds;
+  Bounds.Deadline = Context.Deadline;
+  Bounds.Watch = &Watch;
+  ExchangeResult Exchange =
+      this->PeerClient.exchange(Row.PeerAddress, Request, Bounds, Yield);
+  if (Exchange.Outcome != ExchangeOutcome::Answered) {
+    return notRunResult(Watch.Disconnected ? AttemptReason::CallerGone
+                                           : AttemptReason::Unreachable);
+  }
+  AttemptResult Result = hop::takeResult(std::move(Exchange.Response));
+  bool Admitted = Result.Outcome == RequestOutcome::NotRun &&
+                  Result.Reason == AttemptReason::None;
+  if (Admitted) {
+    return std::nullopt;
+  }
+  // Nothing was sent to the backend server, whatever the response says.
+  Result.Outcome = RequestOutcome::NotRun;
+  return Result;
+}
+
+AttemptResult RequestRouter::admitBody(std::uint64_t Bytes,
+                                       const AttemptContext &Context) {
+  if (this->RejectingAll || this->Draining) {
+    return notRunResult(AttemptReason::Leaving);
+  }
+  TimePoint Now = BootClock::now();
+  Duration Wait = this->Link.expectedWait(Now);
+  auto MaxWait = std::chrono::duration_cast<Duration>(
+      (Context.ObjectiveAt - Now) * LinkWaitShare);
+  if (Wait > std::max<Duration>(MaxWait, Duration::zero())) {
+    return notRunResult(AttemptReason::Busy, Wait);
+  }
+  AttemptResult Refusal;
+  if (!this->LocalDispatcher.mayAdmit(Context, Refusal)) {
+    return Refusal;
+  }
+  this->Link.admit(Bytes, Now);
+  return notRunResult(AttemptReason::None);
+}
+
 AttemptResult RequestRouter::forwardTo(const InstanceRow &Row,
                                        HttpRequest &Request,
                                        const AttemptContext &Context,
                                        CallerWatch &Watch,
                                        const asio::yield_context &Yield) {
+  if (Request.body().size() > LargeBodyBytes) {
+    auto Refusal = this->requestAdmission(Row, Request.body().size(), Context,
+                                          Watch, Yield);
+    if (Refusal) {
+      return std::move(*Refusal);
+    }
+  }
   hop::writeContext(Request, Context, BootClock::now());
   ExchangeOptions Bounds;
   Bounds.Deadline = Context.Deadline + FinalResponseSlack;
@@ -509,6 +568,9 @@
   }
 
   this->Events.onPeerConfiguration(Context->ConfigurationVersion);
+  if (auto Bytes = hop::parseAdmissionRequest(Request)) {
+    return hop::writeResult(this->admitBody(*Bytes, *Context));
+  }
   Context->RequestId = this->HeaderCodec.readCallerHeaders(Request).RequestId;
   bool Reject = this->RejectingAll || (this->Draining && !Context->Key);
   AttemptResult Result =
--- a/mesh/RequestRouter.h
+++ b/mesh/RequestRouter.h
@@ -2,6 +2,7 @@
 
 #include "mesh/BackendDispatcher.h"
 #include "mesh/InstancePicker.h"
+#include "mesh/LinkBudget.h"
 #include "mesh/MeshMetrics.h"
 #include "mesh/RetryBudget.h"
 
@@ -79,6 +80,11 @@
   AttemptResult attemptAt(const InstanceId &Instance, HttpRequest &Request,
                           RequestState &State, CallerWatch &Watch,
                           const boost::asio::yield_context &Yield);
+  std::optional<AttemptResult>
+  requestAdmission(const InstanceRow &Row, std::uint64_t Bytes,
+                   const AttemptContext &Context, CallerWatch &Watch,
+                   const boost::asio::yield_context &Yield);
+  AttemptResult admitBody(std::uint64_t Bytes, const AttemptContext &Context);
   AttemptResult forwardTo(const InstanceRow &Row, HttpRequest &Request,
                           const AttemptContext &Context, CallerWatch &Watch,
                           const boost::asio::yield_context &Yield);
@@ -111,6 +117,7 @@
   HttpClient PeerClient;
   InstancePicker Picker;
   RetryBudget Budget;
+  LinkBudget Link;
   std::mt19937_64 Random;
   std::map<std::string, std::vector<OwnerHint>> OwnerHints;
   bool Draining = false;
--- a/tests/mesh/HopCodecTest.cpp
+++ b/tests/mesh/HopCodecTest.cpp
@@ -63,3 +63,23 @@
   Foreign.set("Hs-Hop", "not-run busy");
   cr_assert(hop::takeResult(Foreign).Outcome == RequestOutcome::Unknown);
 }
+
+/// The admission of a large body is asked for with the context of its request.
+Test(HopCodec, AdmissionRequestRoundTrip) {
+  TimePoint Now{std::chrono::seconds(100)};
+  AttemptContext Context;
+  Context.Service = "media";
+  Context.RouteName = "uploads";
+  Context.Deadline = Now + std::chrono::seconds(3);
+  Context.CallerService = "roster";
+  HttpRequest Request = hop::makeAdmissionRequest(Context, 60000, Now);
+  cr_assert(hop::parseAdmissionRequest(Request) == 60000u);
+  auto Read = hop::takeContext(Request, Now);
+  cr_assert(Read && Read->Service == "media" &&
+            Read->Deadline == Context.Deadline);
+
+  HttpRequest FromCaller(http::verb::get, "/", 11);
+  FromCaller.set("Hs-Body-Bytes", "5");
+  hop::erase(FromCaller);
+  cr_assert_not(hop::parseAdmissionRequest(FromCaller));
+}
