Hot keys: handed over once their load is known, to all receivers in one round

Cause: the first offers of an overloaded owner were sized by a load smoothed over a second, a few tenths of a second after a rise: at a demand of ten servers it measured two, so one receiver was given half of the hot keys and was overloaded itself. Load pattern: a third of a service's requests on 60 to 200 keys from one moment to the next. Now: a rise is measured for 350 ms before keys are offered; a load that is high over a second counts with its extent of the last 0.3 s; up to 32 offers at once; failed writes are repeated after doubled, random delays. Daemons without keys of their own ask for the first map less often in a large fleet. Ruled out: a shorter smoothing for the trigger as well (single bursts of a few requests would move keys).

--- a/mesh/BackendDispatcher.cpp
+++ b/mesh/BackendDispatcher.cpp
@@ -24,6 +24,7 @@
 /// Time constant for smoothing the offered load, in seconds: short enough to
 /// detect a hot key within a second.
 constexpr double OfferedLoadDecaySeconds = 1.0;
+constexpr double RecentLoadDecaySeconds = 0.3;
 
 /// A backend server reports when it stops at the deadline; its response is
 /// awaited this much longer.
@@ -343,6 +344,8 @@
                        : this->MeanRunSeconds;
   this->OfferedSlots =
       this->offeredSlots(Now) + Seconds / OfferedLoadDecaySeconds;
+  this->RecentOfferedSlots =
+      this->recentOfferedSlots(Now) + Seconds / RecentLoadDecaySeconds;
   this->OfferedSlotsAt = Now;
   if (Context.Key) {
     this->Keys.recordLoad(*Context.Key,
@@ -359,6 +362,17 @@
          std::exp(-std::max(Age, 0.0) / OfferedLoadDecaySeconds);
 }
 
+double BackendDispatcher::recentOfferedSlots(TimePoint Now) const {
+  double Age =
+      std::chrono::duration<double>(Now - this->OfferedSlotsAt).count();
+  return this->RecentOfferedSlots *
+         std::exp(-std::max(Age, 0.0) / RecentLoadDecaySeconds);
+}
+
+double BackendDispatcher::recentOfferedLoad(TimePoint Now) const {
+  return this->recentOfferedSlots(Now) / this->Queue.limit();
+}
+
 double BackendDispatcher::offeredLoad(TimePoint Now) {
   this->updateUtilisation(Now);
   double Offered = this->offeredSlots(Now) / this->Queue.limit();
--- a/mesh/BackendDispatcher.h
+++ b/mesh/BackendDispatcher.h
@@ -39,6 +39,9 @@
   /// backend server.
   double offeredLoad(TimePoint Now);
 
+  /// The offered load, smoothed over a shorter time.
+  double recentOfferedLoad(TimePoint Now) const;
+
   /// Refuses queued requests that can no longer be answered in time.
   void shedExpired();
 
@@ -63,6 +66,7 @@
   void updateUtilisation(TimePoint Now);
   void recordOfferedLoad(const AttemptContext &Context, TimePoint Now);
   double offeredSlots(TimePoint Now) const;
+  double recentOfferedSlots(TimePoint Now) const;
 
   boost::asio::io_context &Io;
   LocalServer &Server;
@@ -87,6 +91,9 @@
   /// Slots that arriving requests would occupy, as of OfferedSlotsAt.
   double OfferedSlots = 0;
   TimePoint OfferedSlotsAt;
+
+  /// The same, smoothed over a shorter time.
+  double RecentOfferedSlots = 0;
 };
 
 } // namespace hemlockspar
--- a/mesh/KeyOwnershipManager.cpp
+++ b/mesh/KeyOwnershipManager.cpp
@@ -69,7 +69,15 @@
 /// Number of instances to which keys are offered at the same time: when a third
 /// of a service's requests fall on a few keys of one owner, the load has to go
 /// to several others.
-constexpr std::size_t MaxConcurrentOffers = 8;
+constexpr std::size_t MaxConcurrentOffers = 32;
+
+/// The load is rising when the recent load exceeds the smoothed one by this
+/// factor.
+constexpr double RisingLoadFactor = 1.3;
+
+/// After the start of a rise the recent load takes this long to show its
+/// extent: keys that are handed over earlier are too many for their receiver.
+constexpr auto RiseMeasuringTime = std::chrono::milliseconds(350);
 
 /// An instance accepts keys until its load is about this high; above it
 /// requests queue.
@@ -86,8 +94,11 @@
 /// cancelled and the keys stay with their owner.
 constexpr auto HandoverTimeout = std::chrono::seconds(8);
 
-/// Delay after a failed write of the key map.
+/// Delay after a failed write of the key map. Doubled, up to the maximum, and
+/// randomised after each further failure: owners that repeat their writes at
+/// the same time fail again, as only one of them can change the row.
 constexpr auto WriteRetryDelay = std::chrono::milliseconds(60);
+constexpr unsigned MaxWriteRetryDoublings = 3;
 
 std::string countText(const std::vector<KeyRange> &Ranges) {
   std::uint32_t Keys = 0;
@@ -133,8 +144,8 @@
                                          KeyOwnershipActions &Actions,
                                          TimePoint Now)
     : Instance(Instance), Opts(Opts), View(View), Grants(Grants),
-      Actions(Actions), Lease(Instance, Process, {}), LastReportAt(Now),
-      CandidatesChangedAt(Now) {}
+      Actions(Actions), Lease(Instance, Process, {}), Random(Process),
+      LastReportAt(Now), CandidatesChangedAt(Now) {}
 
 Duration KeyOwnershipManager::holdTime(const Options &Opts) {
   return std::min(Opts.Heartbeat * HeartbeatsPerHold, Opts.MaxHoldTime);
@@ -572,7 +583,7 @@
     return;
   }
   bool Free = !this->Offers.hasPending() && Now >= this->NextOfferAt &&
-              this->PeerLeases.hasBeenRead();
+              this->PeerLeases.hasBeenRead() && !this->isLoadUnclear(Now);
   if (!Free) {
     return;
   }
@@ -597,8 +608,28 @@
   }
 }
 
+void KeyOwnershipManager::setLoad(double Busy, double Recent, TimePoint Now) {
+  this->OwnLoad = Busy;
+  this->RecentLoad = Recent;
+  if (Recent <= Busy * RisingLoadFactor) {
+    this->LoadRisingSince.reset();
+  } else if (!this->LoadRisingSince) {
+    this->LoadRisingSince = Now;
+  }
+}
+
+bool KeyOwnershipManager::isLoadUnclear(TimePoint Now) const {
+  return this->LoadRisingSince &&
+         Now - *this->LoadRisingSince < RiseMeasuringTime;
+}
+
 double KeyOwnershipManager::remainingLoad(TimePoint Now) const {
-  return std::max(this->OwnLoad - this->Offers.outgoingLoad(Now), 0.0);
+  // Only a load that is high over a second counts, but its extent is that of
+  // the last moment.
+  bool High = this->OwnLoad >= MaxLoadAfterAccept;
+  double Load =
+      High ? std::max(this->OwnLoad, this->RecentLoad) : this->OwnLoad;
+  return std::max(Load - this->Offers.outgoingLoad(Now), 0.0);
 }
 
 double KeyOwnershipManager::loadToMove(double GiverLoad, double Load) {
@@ -780,6 +811,17 @@
   }
 }
 
+Duration KeyOwnershipManager::nextWriteRetryDelay() {
+  Duration Longest = WriteRetryDelay * (1 << std::min(this->FailedWrites,
+                                                      MaxWriteRetryDoublings));
+  ++this->FailedWrites;
+  if (this->FailedWrites == 1) {
+    return Longest;
+  }
+  std::uniform_real_distribution<double> Share(0, 1);
+  return std::chrono::duration_cast<Duration>(Longest * Share(this->Random));
+}
+
 void KeyOwnershipManager::onMapCommit(const StoreCommit &Commit,
                                       TimePoint Now) {
   MapWrite Kind = this->PendingWrite;
@@ -791,7 +833,7 @@
   if (Commit.Result.Outcome != CommitOutcome::Committed) {
     this->Actions.onKeyEvent(KeyEvent::WriteFailed,
                              nameOf(Commit.Result.Outcome));
-    this->WriteRetryAt = Now + WriteRetryDelay;
+    this->WriteRetryAt = Now + this->nextWriteRetryDelay();
     this->LeaseReadWanted = this->LeaseReadWanted || Kind == MapWrite::Takeover;
     bool RowReturned = Commit.Result.Outcome == CommitOutcome::Conflict &&
                        !Commit.Current.empty();
@@ -802,6 +844,7 @@
     return;
   }
 
+  this->FailedWrites = 0;
   this->Actions.notifyOwners(this->NewOwners);
   switch (Kind) {
   case MapWrite::InitialLayout:
--- a/mesh/KeyOwnershipManager.h
+++ b/mesh/KeyOwnershipManager.h
@@ -8,7 +8,7 @@
 #include "mesh/OwnLease.h"
 #include "mesh/ServerGrants.h"
 
-#include <deque>
+#include <random>
 
 namespace hemlockspar {
 
@@ -182,8 +182,9 @@
   }
 
   /// Sets the share of the backend server's slots that incoming requests would
-  /// occupy; above 1 when demand exceeds capacity.
-  void setLoad(double Busy) { this->OwnLoad = Busy; }
+  /// occupy, above 1 when demand exceeds capacity: \p Busy as smoothed over a
+  /// second, \p Recent over a fraction of that.
+  void setLoad(double Busy, double Recent, TimePoint Now);
 
   /// Longest duration of a grant with \p Opts.
   static Duration holdTime(const Options &Opts);
@@ -209,6 +210,7 @@
     return this->LastReportAt + this->Opts.Heartbeat;
   }
   void updateGrants(TimePoint Now);
+  Duration nextWriteRetryDelay();
   bool hasUncertainWrite() const;
   void resolveUncertainWrite();
 
@@ -227,6 +229,7 @@
   void removeStaleHandovers(TimePoint Now);
 
   double remainingLoad(TimePoint Now) const;
+  bool isLoadUnclear(TimePoint Now) const;
   static double loadToMove(double GiverLoad, double Load);
   bool tryHandOver(const InstanceRow &Receiver, double AcceptedLoad,
                    TimePoint Now);
@@ -247,6 +250,10 @@
   StoreClock Clock;
   OwnLease Lease;
   bool LeaseWasHeld = false;
+  std::mt19937_64 Random;
+
+  /// Writes of the key map that failed in a row.
+  unsigned FailedWrites = 0;
 
   ServerReport Report;
   bool HasReport = false;
@@ -284,6 +291,10 @@
 
   KeyLoads Loads;
   double OwnLoad = 0;
+  double RecentLoad = 0;
+
+  /// Since when the recent load has exceeded the smoothed one by far.
+  std::optional<TimePoint> LoadRisingSince;
 
   OfferTracker Offers;
 };
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -386,7 +386,8 @@
   }
   if (this->isKeyed()) {
     this->Sync.followKeys();
-    this->KeyManager.setLoad(this->Dispatcher.offeredLoad(Now));
+    this->KeyManager.setLoad(this->Dispatcher.offeredLoad(Now),
+                             this->Dispatcher.recentOfferedLoad(Now), Now);
     this->KeyManager.tick(Now);
   }
   this->TickTimer.expires_after(TickInterval);
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -27,6 +27,7 @@
 
 /// Polling interval for the table of keys until keys have owners.
 constexpr auto UnownedKeysInterval = std::chrono::milliseconds(2500);
+constexpr auto MaxUnownedKeysInterval = std::chrono::milliseconds(7500);
 
 /// Polling interval for the table of keys where no keys are owned.
 constexpr auto KeysInterval = std::chrono::seconds(15);
@@ -115,7 +116,8 @@
           this->pollAfter(
               Feed, HasOwners
                         ? this->stretched(KeysInterval, MaxStretchedInterval)
-                        : Duration(UnownedKeysInterval));
+                        : this->stretched(UnownedKeysInterval,
+                                          MaxUnownedKeysInterval));
           return;
         }
         this->poll(Feed);
--- a/tests/mesh/KeyOwnershipPropertyTest.cpp
+++ b/tests/mesh/KeyOwnershipPropertyTest.cpp
@@ -210,6 +210,21 @@
   cr_assert_gt(Before, 0);
 }
 
+/// The same at a demand of ten servers, for all that can take keys: the owner
+/// hands keys to all of them in one round instead of a few at a time.
+Test(KeyOwnershipManager, VeryHotKeysReachAllServersInOneRound) {
+  KeySimulation Simulation(11, 12);
+  cr_assert(Simulation.run(seconds(8)));
+  Simulation.setKeyLoad({1000, 1199}, 60.0 / 200);
+  cr_assert(Simulation.run(seconds(5)), "%s", Simulation.violation().c_str());
+
+  double Served = 0;
+  for (int Index = 0; Index < 12; ++Index) {
+    Served += std::min(Simulation.demandOf(Index), 1.0);
+  }
+  cr_assert_geq(Served, 8.0, "%f servers' worth is served after 5 s", Served);
+}
+
 /// Hot keys: two hundred adjacent keys demand three times the capacity of their
 /// owner, while the others are almost idle. Within four seconds no owner may
 /// see more demand than its capacity plus the smallest range that is moved,
--- a/tests/mesh/KeySimulation.cpp
+++ b/tests/mesh/KeySimulation.cpp
@@ -449,7 +449,7 @@
       if (this->Now >= Member.NextTickAt) {
         Member.NextTickAt = this->Now + TickInterval;
         this->recordKeyLoads(Member);
-        Member.Manager->setLoad(Member.Load);
+        Member.Manager->setLoad(Member.Load, Member.RecentLoad, this->Now);
         Member.Manager->tick(this->Now);
       }
     }
@@ -532,10 +532,11 @@
     return;
   }
 
-  // Measured loads follow the demand with a time constant of one second.
+  // Measured loads follow the demand with time constants of 1 and 0.3 seconds.
   double Wanted = this->demandOf(Member.Index);
   double Seconds = std::chrono::duration<double>(TickInterval).count();
   Member.Load += Seconds * (Wanted - Member.Load);
+  Member.RecentLoad += Seconds / 0.3 * (Wanted - Member.RecentLoad);
   for (const KeyRange &Held : this->heldRanges(Member.Index)) {
     auto End = this->KeyLoads.upper_bound(Held.Last);
     for (auto Key = this->KeyLoads.lower_bound(Held.First); Key != End; ++Key) {
--- a/tests/mesh/KeySimulationNode.h
+++ b/tests/mesh/KeySimulationNode.h
@@ -167,6 +167,7 @@
   std::unique_ptr<KeyOwnershipManager> Manager;
   SimServer Server;
   double Load = 0;
+  double RecentLoad = 0;
   TimePoint NextTickAt;
   TimePoint NextPollAt;
   InstanceRow LastWrittenRow;
