Failed calls to the store are repeated less often in a large fleet

Now: the delay doubles up to one that grows with the fleet, 1.5 s at most; a fleet of up to 60 daemons keeps 300 ms. A lease whose last write has no answer is read again at once in every fleet (LostAnswerIsResolvedAtOnceInALargeFleet fails on the code before: the stretched interval held for it too). Ruled out: a longer delay for renewals of leases (500 ms after the first failure): KeysSurviveStoreOutage failed, leases lapsed before an outage of 4.5 s was noticed to be over; reverted.

--- a/mesh/KeyOwnershipManager.cpp
+++ b/mesh/KeyOwnershipManager.cpp
@@ -332,10 +332,13 @@
 }
 
 void KeyOwnershipManager::updateLease(TimePoint Now) {
-  bool Wanted = this->LeaseReadWanted || this->Lease.needsRead() ||
-                Now >= this->LeaseReadDueAt;
-  if (Wanted && !this->LeaseReadPending && Now >= this->NextLeaseReadAt) {
+  bool Wanted = (this->LeaseReadWanted || Now >= this->LeaseReadDueAt) &&
+                Now >= this->NextLeaseReadAt;
+  bool Urgent = this->Lease.needsRead() &&
+                Now >= this->LastLeaseReadAt + MinLeaseReadInterval;
+  if ((Wanted || Urgent) && !this->LeaseReadPending) {
     this->LeaseReadPending = true;
+    this->LastLeaseReadAt = Now;
     Duration Longest = this->stretchedForOwners(MaxLeaseReadInterval);
     auto Spread =
         static_cast<double>(std::hash<std::string>()(this->Instance) % 1000) /
--- a/mesh/KeyOwnershipManager.h
+++ b/mesh/KeyOwnershipManager.h
@@ -279,6 +279,7 @@
   bool LeaseReadWanted = true;
   bool LeaseReadPending = false;
   TimePoint NextLeaseReadAt;
+  TimePoint LastLeaseReadAt;
   TimePoint LeaseReadDueAt;
   TimePoint LastKeysReadAt;
   std::size_t LastCandidateCount = 0;
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -36,8 +36,12 @@
 /// asked first, and each read is billed as a call.
 constexpr auto MinKeysReadInterval = std::chrono::milliseconds(2500);
 
-/// Delay after a failed call.
+/// Delay after a failed call, doubled after each further one up to a maximum
+/// that grows with the fleet: the store also charges for the calls that it
+/// refuses while it is away.
 constexpr auto RetryDelay = std::chrono::milliseconds(300);
+constexpr auto MaxRetryDelay = std::chrono::milliseconds(1500);
+constexpr unsigned MaxRetryDoublings = 4;
 
 /// When all instances start, they write their rows almost at once; without a
 /// pause each row would cost a separate call.
@@ -72,7 +76,8 @@
     : StoreClient(StoreClient), View(View), Codec(Codec), Config(Config),
       ConfigurationFeed(Io, tables::Operator, ConfigurationWait),
       InstanceFeed(Io, tables::Instances, TableWait),
-      KeyFeed(Io, tables::Keys, TableWait), WriteTimer(Io), CatchUpTimer(Io) {}
+      KeyFeed(Io, tables::Keys, TableWait), WriteTimer(Io), CatchUpTimer(Io),
+      Random(std::hash<std::string>()(Config.Instance)) {}
 
 void StoreSync::start() {
   this->StartedAt = BootClock::now();
@@ -104,9 +109,10 @@
   this->StoreClient.readTable(
       Feed.Table, [this, &Feed](const std::optional<StoreRows> &Read) {
         if (!Read) {
-          this->pollAfter(Feed, RetryDelay);
+          this->pollAfter(Feed, this->retryDelay(Feed.Failures++));
           return;
         }
+        Feed.Failures = 0;
         this->applyRows(Feed, *Read);
         Feed.HasRead = true;
         Feed.Version = Read->Version;
@@ -143,9 +149,10 @@
     this->poll(Feed);
     return;
   case FollowOutcome::Failed:
-    this->pollAfter(Feed, RetryDelay);
+    this->pollAfter(Feed, this->retryDelay(Feed.Failures++));
     return;
   case FollowOutcome::Changes:
+    Feed.Failures = 0;
     break;
   }
 
@@ -177,6 +184,16 @@
   return stretchInterval(Interval, this->View.instances().size(), Max);
 }
 
+Duration StoreSync::retryDelay(unsigned Failures) {
+  Duration Longest = std::min<Duration>(
+      RetryDelay * (1 << std::min(Failures, MaxRetryDoublings)),
+      this->stretched(RetryDelay, MaxRetryDelay));
+  std::uniform_real_distribution<double> Jitter(0.75, 1.0);
+  auto Delay =
+      std::chrono::duration_cast<Duration>(Longest * Jitter(this->Random));
+  return std::max<Duration>(Delay, RetryDelay);
+}
+
 bool StoreSync::isRegionReader() const {
   std::size_t Preceding = 0;
   bool Listed = false;
@@ -308,6 +325,7 @@
 void StoreSync::onOwnRowWritten(const InstanceRow &Written,
                                 const StoreCommit &Commit) {
   if (Commit.Result.Outcome == CommitOutcome::Committed) {
+    this->WriteFailures = 0;
     TableTransaction Write;
     Write.Writes.push_back(
         {MeshView::instanceKey(Written.Instance), Written.toText()});
@@ -323,7 +341,7 @@
   if (Commit.Result.Outcome != CommitOutcome::NotRun) {
     this->readInstances([](bool) {});
   }
-  this->WriteTimer.expires_after(RetryDelay);
+  this->WriteTimer.expires_after(this->retryDelay(this->WriteFailures++));
   this->WriteTimer.async_wait([this](const boost::system::error_code &Error) {
     if (!Error) {
       this->writeOwnRow();
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <random>
 
 namespace hemlockspar {
 
@@ -57,6 +58,9 @@
     boost::asio::steady_timer Timer;
     RowVersion Version = 0;
     bool HasRead = false;
+
+    /// Calls that failed in a row.
+    unsigned Failures = 0;
   };
 
   void poll(TableFeed &Feed);
@@ -65,6 +69,7 @@
   void applyRows(TableFeed &Feed, const StoreRows &Rows);
   Duration pauseAfterChanges(const TableFeed &Feed) const;
   Duration stretched(Duration Interval, Duration Max) const;
+  Duration retryDelay(unsigned Failures);
   bool isRegionReader() const;
   bool isConfigurationStale() const;
   void readConfiguration();
@@ -92,6 +97,8 @@
   std::uint64_t NewestPeerVersion = 0;
   boost::asio::steady_timer CatchUpTimer;
   bool CatchingUp = false;
+  std::mt19937_64 Random;
+  unsigned WriteFailures = 0;
 };
 
 } // namespace hemlockspar
--- a/tests/mesh/KeyOwnershipManagerTest.cpp
+++ b/tests/mesh/KeyOwnershipManagerTest.cpp
@@ -245,6 +245,27 @@
   cr_assert_leq(ReadsIn(300) * 110, ReadsIn(60) * 30);
 }
 
+/// A write of the lease without an answer must be followed by a read at once,
+/// however large the fleet is: nothing can be renewed before it.
+Test(KeyOwnershipManager, LostAnswerIsResolvedAtOnceInALargeFleet) {
+  ManagerFixture Fixture;
+  Fixture.acquireLease();
+  for (int Index = 1; Index <= 300; ++Index) {
+    Fixture.addInstance("i" + std::to_string(Index));
+  }
+  Fixture.answerLeases();
+  Fixture.Now += milliseconds(3500);
+  Fixture.Manager.tick(Fixture.Now);
+  Fixture.Manager.onLeaseCommit({{CommitOutcome::Unknown, 0}, {}, std::nullopt},
+                                Fixture.Now, Fixture.Now);
+  Fixture.answerLeases();
+  Fixture.Now += milliseconds(800);
+  int ReadsBefore = Fixture.LeaseReads;
+  Fixture.Manager.onLeaseCommit({{CommitOutcome::Unknown, 0}, {}, std::nullopt},
+                                Fixture.Now, Fixture.Now);
+  cr_assert_eq(Fixture.LeaseReads, ReadsBefore + 1);
+}
+
 Test(FleetScale, IntervalsStretchWithTheFleet) {
   cr_assert(stretchInterval(seconds(2), 18, seconds(30)) == seconds(2));
   cr_assert(stretchInterval(seconds(2), 60, seconds(30)) == seconds(2));
