stand_ins: backend servers that are granted keys by calls; the path with real daemons

Cause: grants by call were tested in simulated time only. Now: the fake server speaks both calls, with answers held until running requests end, tokens seen, and calls that get no answer and are applied late. KeysGrantedByCalls (a leaving server's keys move while two of five calls are late, no key is held twice), RestartedServerIsGrantedItsKeysByCalls, UploadsArriveWhole (300 KB through each daemon, and what exceeds the declared size refused). Ruled out: none.

--- a/stand_ins/FakePlatformServer.cpp
+++ b/stand_ins/FakePlatformServer.cpp
@@ -5,6 +5,7 @@
 #include "net/Event.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <boost/asio/detached.hpp>
 
 namespace hemlockspar {
@@ -15,6 +16,15 @@
 
 constexpr auto ReportTimeout = std::chrono::seconds(1);
 
+constexpr std::string_view GrantPath = "/api/grant";
+constexpr std::string_view ReleasePath = "/api/release";
+
+/// Interval at which a release checks whether running requests have ended.
+constexpr auto ReleasePollInterval = std::chrono::milliseconds(10);
+
+/// A call without an answer keeps its connection for this long.
+constexpr auto UnansweredTime = std::chrono::seconds(5);
+
 /// Delay of the next report after a response that took keys away.
 constexpr auto ReleaseReportDelay = std::chrono::milliseconds(50);
 
@@ -64,10 +74,103 @@
   this->StartedAtUnixMs = unixMilliseconds();
   this->Sequence = 0;
   this->HeldRanges.clear();
+  this->SeenTokens.assign(KeyCount, 0);
   this->Released = Json::Value(Json::arrayValue);
   this->Draining = false;
 }
 
+// Grants by call
+
+bool FakePlatformServer::isCallLate() {
+  std::lock_guard Lock(this->Mutex);
+  return this->GrantCallCount++ % 10 < this->Faults.LateCallsOfTen;
+}
+
+void FakePlatformServer::dropKeys(std::uint32_t From, std::uint32_t To) {
+  std::vector<HeldKeyRange> Rest;
+  for (const HeldKeyRange &Held : this->HeldRanges) {
+    if (Held.From > To || Held.To < From) {
+      Rest.push_back(Held);
+      continue;
+    }
+    if (Held.From < From) {
+      Rest.push_back({Held.From, From - 1, Held.Token, Held.Until});
+    }
+    if (Held.To > To) {
+      Rest.push_back({To + 1, Held.To, Held.Token, Held.Until});
+    }
+  }
+  this->HeldRanges = std::move(Rest);
+}
+
+HttpResponse FakePlatformServer::applyGrant(const Json::Value &Call,
+                                            TimePoint ArrivedAt) {
+  std::lock_guard Lock(this->Mutex);
+  std::uint32_t From = Call["start_key"].asUInt();
+  std::uint32_t To = Call["target"].asUInt();
+  std::uint64_t Token = Call["fence"].asUInt64();
+  auto HoldTime = parseDuration(getString(Call, "hold_time"));
+  if (From > To || To >= KeyCount || !HoldTime) {
+    return HttpResponse(http::status::bad_request, 11);
+  }
+
+  auto First = this->SeenTokens.begin() + From;
+  auto End = this->SeenTokens.begin() + To + 1;
+  if (*std::max_element(First, End) > Token) {
+    return HttpResponse(http::status::conflict, 11);
+  }
+  std::fill(First, End, Token);
+  this->dropKeys(From, To);
+  if (BootClock::now() < ArrivedAt + *HoldTime) {
+    this->HeldRanges.push_back({From, To, Token, ArrivedAt + *HoldTime});
+  }
+  if (this->Checker) {
+    this->Checker->setHeldKeys(this->Settings.Id, this->HeldRanges);
+  }
+  return HttpResponse(http::status::ok, 11);
+}
+
+HttpResponse FakePlatformServer::applyRelease(const Json::Value &Call) {
+  std::lock_guard Lock(this->Mutex);
+  this->dropKeys(Call["start_key"].asUInt(), Call["target"].asUInt());
+  if (this->Checker) {
+    this->Checker->setHeldKeys(this->Settings.Id, this->HeldRanges);
+  }
+  HttpResponse Response(http::status::ok, 11);
+  Response.set("Handover", "state");
+  return Response;
+}
+
+HttpResponse
+FakePlatformServer::serveGrantCall(const std::string &Path,
+                                   const Json::Value &Call,
+                                   const asio::yield_context &Yield) {
+  TimePoint ArrivedAt = BootClock::now();
+  bool Late = this->isCallLate();
+  if (Late) {
+    std::chrono::milliseconds Delay;
+    {
+      std::lock_guard Lock(this->Mutex);
+      Delay = this->Faults.LateCallDelay;
+    }
+    sleepFor(this->Io, Delay, Yield);
+  }
+  HttpResponse Response = Path == GrantPath ? this->applyGrant(Call, ArrivedAt)
+                                            : this->applyRelease(Call);
+  if (Late) {
+    sleepFor(this->Io, UnansweredTime, Yield);
+    return Response;
+  }
+  auto IsBusy = [this] {
+    std::lock_guard Lock(this->Mutex);
+    return this->Running > 0;
+  };
+  while (Path == ReleasePath && IsBusy()) {
+    sleepFor(this->Io, ReleasePollInterval, Yield);
+  }
+  return Response;
+}
+
 bool FakePlatformServer::holdsLocked(std::uint32_t Key) const {
   TimePoint Now = BootClock::now();
   return std::any_of(this->HeldRanges.begin(), this->HeldRanges.end(),
@@ -113,6 +216,15 @@
 
 HttpResponse FakePlatformServer::serve(HttpRequest &Request,
                                        const asio::yield_context &Yield) {
+  std::string Path =
+      targetPath({Request.target().data(), Request.target().size()});
+  auto Call = Path == GrantPath || Path == ReleasePath
+                  ? readJson(Request.body())
+                  : std::nullopt;
+  if (Call && this->Settings.GrantsByCall) {
+    return this->serveGrantCall(Path, *Call, Yield);
+  }
+
   std::string RequestId = headerValue(Request, "Request-Id");
   PlatformServerFaults Now;
   {
@@ -146,6 +258,7 @@
   HttpResponse Response(http::status::ok, 11);
   Response.body() = absl::StrCat(this->Settings.Id, " ran ", RequestId);
   Response.set("Request-Id", Now.WrongRequestIds ? "another" : RequestId);
+  Response.set("Body-Bytes", std::to_string(Request.body().size()));
   Response.set("Server-Stamp", absl::StrCat("stamp-", RequestId));
   if (Now.OmitServerStamp) {
     // Without the stamp the daemon must not take the response as the server's
@@ -218,7 +331,8 @@
   auto Answer =
       Acknowledged ? readJson(Exchange.Response.body()) : std::nullopt;
   // A response to a report from before a restart is ignored.
-  return Answer && SentByStartedAtUnixMs == this->startedAtUnixMs() &&
+  return Answer && !this->Settings.GrantsByCall &&
+         SentByStartedAtUnixMs == this->startedAtUnixMs() &&
          this->applyResponse(*Answer, SentAt);
 }
 
--- a/stand_ins/FakePlatformServer.h
+++ b/stand_ins/FakePlatformServer.h
@@ -30,6 +30,11 @@
   bool SuppressReports = false;
 
   std::chrono::milliseconds ServiceTime{2};
+
+  /// Of ten calls that grant or release keys, this many get no answer and are
+  /// applied LateCallDelay after their arrival, from which their time counts.
+  unsigned LateCallsOfTen = 0;
+  std::chrono::milliseconds LateCallDelay{1500};
 };
 
 /// Fake of a backend server on the operators' platform, for tests: reports to
@@ -48,6 +53,9 @@
     Address Daemon;
     std::chrono::milliseconds Heartbeat{300};
     std::uint32_t Slots = 6;
+
+    /// Keys are granted by calls instead of in responses to reports.
+    bool GrantsByCall = false;
   };
 
   FakePlatformServer(boost::asio::io_context &Io, Config Settings);
@@ -82,6 +90,12 @@
 private:
   HttpResponse serve(HttpRequest &Request,
                      const boost::asio::yield_context &Yield);
+  HttpResponse serveGrantCall(const std::string &Path, const Json::Value &Call,
+                              const boost::asio::yield_context &Yield);
+  HttpResponse applyGrant(const Json::Value &Call, TimePoint ArrivedAt);
+  HttpResponse applyRelease(const Json::Value &Call);
+  void dropKeys(std::uint32_t From, std::uint32_t To);
+  bool isCallLate();
   HttpResponse refuse(http::status Status, const std::string &RequestId) const;
   void reportLoop(const boost::asio::yield_context &Yield);
   bool report(const boost::asio::yield_context &Yield);
@@ -102,6 +116,10 @@
   std::vector<HeldKeyRange> HeldRanges;
   OwnershipChecker *Checker = nullptr;
   Json::Value Released{Json::arrayValue};
+
+  /// The highest token seen in a call for each key.
+  std::vector<std::uint64_t> SeenTokens = std::vector<std::uint64_t>(KeyCount);
+  unsigned GrantCallCount = 0;
   std::uint32_t Running = 0;
   std::vector<std::string> ExecutedRequests;
   std::map<std::string, std::string> LastRequestHeaders;
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -172,6 +172,7 @@
               .toText()
        << "\nserver:\n  address: " << Host << ":" << ServerPort
        << "\n  service: " << this->Services[static_cast<std::size_t>(Index)]
+       << "\n  grants: " << (this->GrantsByCall ? "rpc" : "heartbeat")
        << "\n  heartbeat: 300ms\nrepeats:\n  allowance: 1000\n";
 }
 
@@ -246,6 +247,7 @@
     Terms.DataCenter = absl::StrCat("r", Index % 2, "-a");
     Terms.At = {Host, ServerPort};
     Terms.Daemon = {Host, ReportPort};
+    Terms.GrantsByCall = this->GrantsByCall;
     this->Servers.push_back(
         std::make_unique<FakePlatformServer>(this->Io, Terms));
     this->Servers.back()->setOwnershipChecker(this->Ledger);
@@ -273,8 +275,9 @@
 ExchangeResult
 PlatformMesh::send(int Index, const std::string &Path,
                    const std::map<std::string, std::string> &Headers,
-                   http::verb Method) {
+                   http::verb Method, const std::string &Body) {
   HttpRequest Request(Method, Path, 11);
+  Request.body() = Body;
   Request.set(http::field::host, "spa.example");
   Request.set("Request-Id", absl::StrCat("q", ++this->LastRequest));
   Request.set("Deadline-Ms", "8000");
--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -55,7 +55,8 @@
   /// Sends a request as a caller on the machine of daemon \p Index.
   ExchangeResult send(int Index, const std::string &Path,
                       const std::map<std::string, std::string> &Headers = {},
-                      http::verb Method = http::verb::get);
+                      http::verb Method = http::verb::get,
+                      const std::string &Body = "");
 
   /// As send, for a key of menus, with a new request ID each time.
   ExchangeResult sendKey(int Index, std::uint32_t Key);
@@ -81,6 +82,9 @@
   /// hold to \p Ledger.
   void setLedger(OwnershipChecker *Ledger) { this->Ledger = Ledger; }
 
+  /// Keys are granted by calls; to be called before the start.
+  void setGrantsByCall() { this->GrantsByCall = true; }
+
   FakePlatformStore &store() { return *this->StandInStore; }
   FakePlatformServer &server(int Index) {
     return *this->Servers[static_cast<std::size_t>(Index)];
@@ -118,6 +122,7 @@
   std::vector<std::unique_ptr<FakePlatformServer>> Servers;
   std::thread IoThread;
   OwnershipChecker *Ledger = nullptr;
+  bool GrantsByCall = false;
   std::map<int, pid_t> Daemons;
 
   /// Number of starts of each daemon.
--- a/tests/mesh/PlatformMeshTest.cpp
+++ b/tests/mesh/PlatformMeshTest.cpp
@@ -372,3 +372,69 @@
   cr_assert(WIFEXITED(Status), "ended by signal %d", WTERMSIG(Status));
   cr_assert_eq(WEXITSTATUS(Status), 2, "invalid settings are refused");
 }
+
+/// Keys granted by calls: all are held and served, those of a leaving server
+/// move to the other one, and with two of five calls applied late no key is
+/// ever held twice.
+Test(PlatformMesh, KeysGrantedByCalls) {
+  OwnershipChecker Checker;
+  PlatformMesh Mesh(78, {"menus", "menus", "menus", "bookings"});
+  Mesh.setGrantsByCall();
+  Mesh.setLedger(&Checker);
+  cr_assert(Mesh.start());
+  for (std::uint32_t Key : {0U, 20000U, 40000U, 65535U}) {
+    cr_assert(isServed(Mesh.sendKey(3, Key)));
+  }
+
+  PlatformServerFaults Late;
+  Late.LateCallsOfTen = 4;
+  for (int Index = 0; Index < 3; ++Index) {
+    Mesh.server(Index).setFaults(Late);
+  }
+  Mesh.server(0).startDraining();
+  cr_assert(Mesh.waitUntil([&] {
+    return Mesh.server(0).heldKeyCount() == 0 && Mesh.allKeysHeld();
+  }));
+  for (int Index = 0; Index < 3; ++Index) {
+    Mesh.server(Index).setFaults({});
+  }
+  cr_assert(Mesh.waitUntil([&] {
+    return isServed(Mesh.sendKey(3, 0)) && isServed(Mesh.sendKey(3, 20000)) &&
+           isServed(Mesh.sendKey(3, 65535));
+  }));
+  for (const std::string &Violation : Checker.violations()) {
+    cr_assert_fail("%s", Violation.c_str());
+  }
+}
+
+/// A backend server that restarts under its old name holds nothing: it must be
+/// granted its keys again, under a higher token.
+Test(PlatformMesh, RestartedServerIsGrantedItsKeysByCalls) {
+  OwnershipChecker Checker;
+  PlatformMesh Mesh(79, {"menus", "menus", "bookings"});
+  Mesh.setGrantsByCall();
+  Mesh.setLedger(&Checker);
+  cr_assert(Mesh.start());
+  Mesh.server(0).restart("s0");
+  cr_assert_eq(Mesh.server(0).heldKeyCount(), 0);
+  cr_assert(Mesh.waitUntil([&] { return Mesh.allKeysHeld(); }));
+  cr_assert(isServed(Mesh.sendKey(2, 0)));
+  cr_assert(Checker.violations().empty());
+}
+
+/// Uploads reach the backend server whole, from another machine as well, and
+/// what exceeds the declared size is refused at once.
+Test(PlatformMesh, UploadsArriveWhole) {
+  PlatformMesh Mesh(80, FourDaemons);
+  cr_assert(Mesh.start());
+  const std::string Body(300000, 'u');
+  for (int Index = 0; Index < 4; ++Index) {
+    ExchangeResult Result =
+        Mesh.send(Index, "/bookings/1", {}, http::verb::post, Body);
+    cr_assert(isServed(Result), "status %u", statusOf(Result));
+    cr_assert_eq(headerValue(Result.Response, "Body-Bytes"), "300000");
+  }
+  ExchangeResult TooLarge = Mesh.send(0, "/bookings/1", {}, http::verb::post,
+                                      std::string(1000001, 'u'));
+  cr_assert_neq(statusOf(TooLarge), 200);
+}
