Odd entries and unexpected errors: bounded, refused, survived

Could not: nesting (bounded to 64 levels, and a row's value is parsed by itself), ports out of range, numbers past 64 bits in instances, text that is no JSON: such a row names nothing and the others stay. Now: bounds where the texts are decoded; an exception in a handler becomes a 500 on a connection that closes, and one elsewhere is logged and the process goes on.

--- a/mesh/InstanceRow.cpp
+++ b/mesh/InstanceRow.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::uint64_t MaxSlots = 1 << 16;
+
 constexpr std::array<const char *, 3> ServerStateNames = {"ready", "leaving",
                                                           "gone"};
 
@@ -43,7 +45,8 @@
   InstanceRow Row;
   auto State = serverStateOf(getString(*Value, "state"));
   const Json::Value &Started = (*Value)["started"];
-  bool IsValid = State && Started.isInt64() &&
+  std::uint64_t Slots = getUnsigned(*Value, "slots");
+  bool IsValid = State && Started.isInt64() && Slots <= MaxSlots &&
                  Address::fromText(getString(*Value, "inner"), Row.PeerAddress);
   if (!IsValid) {
     return std::nullopt;
@@ -54,7 +57,7 @@
   Row.DataCenter = getString(*Value, "dc");
   Row.Service = getString(*Value, "service");
   Row.Incarnation = {getString(*Value, "server"), Started.asInt64()};
-  Row.Slots = static_cast<std::uint32_t>(getUnsigned(*Value, "slots"));
+  Row.Slots = static_cast<std::uint32_t>(Slots);
   Row.State = *State;
   return Row.Instance.empty() ? std::nullopt : std::optional(Row);
 }
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -266,7 +266,15 @@
       .with("callers", this->Config.CallerAddress.toText())
       .with("inner", this->Config.PeerAddress.toText());
 
-  this->Io.run();
+  while (!this->Io.stopped()) {
+    try {
+      this->Io.run();
+    } catch (const std::exception &Exception) {
+      // What failed ends; the other requests and the keys held here do not.
+      LogLine(LogLevel::Error, "daemon", "unexpected_error")
+          .with("error", Exception.what());
+    }
+  }
   LogLine(LogLevel::Info, "daemon", "stopped");
   return 0;
 }
--- a/mesh/OwnLease.cpp
+++ b/mesh/OwnLease.cpp
@@ -4,6 +4,15 @@
 
 namespace hemlockspar {
 
+namespace {
+
+/// Values beyond these are not those of an instance: a lease in the far future
+/// would keep its keys from all others for good.
+constexpr std::int64_t MaxUntilMs = 100LL * 365 * 24 * 3600 * 1000;
+constexpr double MaxRowLoad = 1e6;
+
+} // namespace
+
 std::string KeyLeaseRow::toText() const {
   Json::Value Text;
   Text["process"] = Json::UInt64(this->Process);
@@ -20,12 +29,19 @@
   if (!Valid) {
     return std::nullopt;
   }
+  std::int64_t UntilMs = (*Value)["until_ms"].asInt64();
+  double Load = (*Value)["load"].asDouble();
+  bool Plausible =
+      UntilMs >= 0 && UntilMs <= MaxUntilMs && Load >= 0 && Load <= MaxRowLoad;
+  if (!Plausible) {
+    return std::nullopt;
+  }
 
   KeyLeaseRow Row;
   Row.Process = getUnsigned(*Value, "process");
   Row.Count = getUnsigned(*Value, "count");
-  Row.Until = std::chrono::milliseconds((*Value)["until_ms"].asInt64());
-  Row.Load = (*Value)["load"].asDouble();
+  Row.Until = std::chrono::milliseconds(UntilMs);
+  Row.Load = Load;
   return Row;
 }
 
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -61,6 +61,8 @@
   boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
   bool Busy = false;
 
+  bool HandlerFailed = false;
+
   /// Whether a request has been answered on this connection.
   bool Used = false;
 };
@@ -128,7 +130,7 @@
   HttpResponse Response = this->handle(Conn, Request, Yield);
 
   Response.version(Request.version());
-  Response.keep_alive(KeepAlive && this->KeepAlive);
+  Response.keep_alive(KeepAlive && this->KeepAlive && !Conn.HandlerFailed);
   if (Request.method() == http::verb::head) {
     Response.body().clear();
   }
@@ -162,7 +164,22 @@
                       });
   }
 
-  HttpResponse Response = this->OnRequest(Request, *Watch, Yield);
+  HttpResponse Response;
+  bool Failed = false;
+  try {
+    Response = this->OnRequest(Request, *Watch, Yield);
+  } catch (const std::exception &Exception) {
+    // One request must not end the process and all others with it. A coroutine
+    // that is being unwound does not throw std::exception.
+    LogLine(LogLevel::Error, "net", "handler_failed")
+        .with("error", Exception.what());
+    Failed = true;
+  }
+  if (Failed) {
+    Conn.HandlerFailed = true;
+    Response = problemResponse(http::status::internal_server_error,
+                               "internal error", "the request failed");
+  }
 
   if (Watching) {
     error_code Ignored;
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -130,3 +130,31 @@
   cr_assert(DrainFixture::readHead(Unused).empty());
   cr_assert_eq(Fixture.Server.connectionCount(), 0);
 }
+
+/// An unexpected error in the handling of one request must end neither the
+/// process nor other requests: its caller is told, and the next one is served.
+Test(HttpServer, UnexpectedErrorEndsOneRequestOnly) {
+  asio::io_context Io;
+  int Requests = 0;
+  HttpServer Server(
+      Io, {}, [&](HttpRequest &, CallerWatch &, const asio::yield_context &) {
+        if (++Requests == 1) {
+          throw std::out_of_range("unexpected");
+        }
+        return HttpResponse(http::status::ok, 11);
+      });
+  cr_assert(Server.listen({"127.0.0.1", 0}).ok());
+  asio::io_context CallerIo;
+  auto Send = [&] {
+    boost::system::error_code Error;
+    asio::ip::tcp::socket Caller(CallerIo);
+    Caller.connect(Server.localAddress().toEndpoint(Error));
+    DrainFixture::sendRequest(Caller);
+    Io.restart();
+    Io.run_for(std::chrono::milliseconds(200));
+    return DrainFixture::readHead(Caller);
+  };
+  cr_assert(Send().starts_with("HTTP/1.1 500"));
+  cr_assert(Send().starts_with("HTTP/1.1 200"));
+  cr_assert_eq(Server.activeRequestCount(), 0);
+}
--- a/tests/platform/JsonConfigurationCodecTest.cpp
+++ b/tests/platform/JsonConfigurationCodecTest.cpp
@@ -86,3 +86,23 @@
     }
   }));
 }
+
+/// Numbers that are too large must neither wrap around to small ones nor spoil
+/// the choice between the targets of a route.
+Test(JsonConfigurationCodec, BoundsNumbers) {
+  auto Decoded = JsonConfigurationCodec().decode(
+      R"({"version":"r7","resources":[)"
+      R"({"resource_kind":"routes","metadata":{"name":"a"},"spec":{)"
+      R"("hostname":"h","prefix":"/a/","route_kind":"idempotent",)"
+      R"("timeout":"1s","priority":4294967296,"max_attempts":4294967298,)"
+      R"("weighted_split":[{"service":"x","weight":1e308},)"
+      R"({"service":"y","weight":10}]}},)"
+      R"({"resource_kind":"limits","metadata":{},"spec":{)"
+      R"("max_header_bytes":4294967296}}]})");
+  cr_assert(Decoded.ok() && Decoded->Routes.size() == 1);
+  const Route &Only = Decoded->Routes[0];
+  cr_assert(Only.Targets.size() == 1 && Only.Targets[0].Service == "y");
+  cr_assert_gt(Only.MaxAttempts, 2);
+  cr_assert_gt(Only.Priority, 0);
+  cr_assert_geq(Decoded->Limits.HeaderBytes, 16384);
+}
