A caller that left before its request was read is gone

A daemon that is short of processor time reads a request when the end of its connection has already arrived behind it; the end was processed only after the request had been sent on. Now: the connection itself is looked at before a request is dispatched and before each attempt. Test: HttpServer.CallerThatLeftBeforeItsRequestWasReadIsGone (the handler did not learn of it before; the field it reads is new). Ruled out: requests that wait for a slot (they are cancelled).

--- a/mesh/BackendDispatcher.cpp
+++ b/mesh/BackendDispatcher.cpp
@@ -252,7 +252,7 @@
   if (Context.Key && !this->Keys.canServe(*Context.Key, Now)) {
     return notRunResult(AttemptReason::KeyMoving);
   }
-  if (Watch.Disconnected) {
+  if (Watch.isGone()) {
     return notRunResult(AttemptReason::CallerGone);
   }
 
--- a/mesh/RequestRouter.cpp
+++ b/mesh/RequestRouter.cpp
@@ -217,7 +217,7 @@
                                          const asio::yield_context &Yield) {
   AttemptResult Result = notRunResult(AttemptReason::NoInstance);
 
-  while (!Watch.Disconnected) {
+  while (!Watch.isGone()) {
     TimePoint Now = BootClock::now();
     auto Instance = this->selectInstance(State, Now);
     if (Instance) {
--- a/net/Http.h
+++ b/net/Http.h
@@ -29,6 +29,18 @@
 struct CallerWatch {
   bool Disconnected = false;
   std::function<void()> OnCancel;
+
+  /// Looks at the connection itself; null where there is none to look at.
+  std::function<bool()> IsConnectionClosed;
+
+  /// Whether the caller has disconnected, also when that has not been processed
+  /// yet: a process that is short of processor time finds the request and the
+  /// end of its connection at the same moment.
+  bool isGone() {
+    this->Disconnected = this->Disconnected || (this->IsConnectionClosed &&
+                                                this->IsConnectionClosed());
+    return this->Disconnected;
+  }
 };
 
 /// A response with a JSON body.
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -151,6 +151,9 @@
   // A disconnect can be detected only while no input is pending.
   bool Watching = Conn.Buffer.size() == 0;
   if (Watching) {
+    Watch->IsConnectionClosed = [&Socket] {
+      return peek(Socket) == ConnectionState::Closed;
+    };
     Socket.async_wait(asio::socket_base::wait_read,
                       [Watch, &Socket](const error_code &Error) {
                         if (Error || Watch.use_count() == 1 ||
@@ -184,6 +187,7 @@
   if (Watching) {
     error_code Ignored;
     Watch->OnCancel = nullptr;
+    Watch->IsConnectionClosed = nullptr;
     Socket.cancel(Ignored);
   }
   return Response;
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -158,3 +158,31 @@
   cr_assert(Send().starts_with("HTTP/1.1 200"));
   cr_assert_eq(Server.activeRequestCount(), 0);
 }
+
+/// A process that is short of processor time finds a request together with the
+/// end of its connection: the handler must learn at once that its caller has
+/// gone, before it sends the request on.
+Test(HttpServer, CallerThatLeftBeforeItsRequestWasReadIsGone) {
+  asio::io_context Io;
+  int Gone = 0;
+  HttpServer Server(
+      Io, {},
+      [&](HttpRequest &, CallerWatch &Watch, const asio::yield_context &) {
+        Gone += Watch.isGone() ? 1 : 0;
+        return HttpResponse(http::status::ok, 11);
+      });
+  cr_assert(Server.listen({"127.0.0.1", 0}).ok());
+  asio::io_context CallerIo;
+  for (bool Leaves : {true, false}) {
+    boost::system::error_code Error;
+    asio::ip::tcp::socket Caller(CallerIo);
+    Caller.connect(Server.localAddress().toEndpoint(Error));
+    DrainFixture::sendRequest(Caller);
+    if (Leaves) {
+      Caller.close();
+    }
+    Io.restart();
+    Io.run_for(std::chrono::milliseconds(200));
+  }
+  cr_assert_eq(Gone, 1);
+}
