--- a/tests/net/HttpClientFaultTest.cpp
+++ b/tests/net/HttpClientFaultTest.cpp
@@ -25,7 +25,7 @@
 
   explicit FaultFixture(Script OnConnection, HttpClient::Limits Bounds = {})
       : Listener(Io, {asio::ip::make_address("127.0.0.1"), 0}),
-        OnConnection(std::move(OnConnection)), Client(Io, Bounds) {
+        OnConnection(std::move(OnConnection)), Client(Io, std::move(Bounds)) {
     this->accept();
   }
 
