review: keys of a replaced backend stay without an owner; the cases in order

Case 5, RECOVER: where a backend's address goes to a backend of another service that is divided by key too, the daemon keeps its lease and the keys of the former service are never taken over.

The cases are numbered the gravest first. Daemons take ports below those that the system gives to connections. A run that ends by time or a crash exits with 2.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,8 @@
 #!/bin/bash
 # Plays the case; see claim.txt. Needs target/ and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout 115 review/out/LateUnmarkedRefusal review/3/record.txt
+
+timeout 115 review/out/LeftServerReturns review/3/record.txt
+Code=$?
+[ "$Code" -le 1 ] || Code=2
+exit "$Code"
--- a/review/stand_ins/Harness.cpp
+++ b/review/stand_ins/Harness.cpp
@@ -13,6 +13,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <random>
+#include <set>
 #include <sstream>
 #include <strings.h>
 #include <sys/prctl.h>
@@ -31,6 +33,11 @@
 /// How much longer than its time limit a caller waits for an answer.
 constexpr int CallerSlackMs = 1500;
 
+/// Ports of daemons lie below those that the system gives to connections, so
+/// that a daemon finds its ports free when it is started again.
+constexpr int FirstPort = 20000;
+constexpr int PortCount = 10000;
+
 sockaddr_in endpoint(const std::string &Host, int Port) {
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
@@ -348,13 +355,19 @@
 }
 
 int freePort(const std::string &Host) {
-  int Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in Address = endpoint(Host, 0);
-  socklen_t Size = sizeof(Address);
-  static_cast<void>(::bind(Fd, reinterpret_cast<sockaddr *>(&Address), Size));
-  ::getsockname(Fd, reinterpret_cast<sockaddr *>(&Address), &Size);
-  ::close(Fd);
-  return ntohs(Address.sin_port);
+  static std::minstd_rand Random(static_cast<unsigned>(::getpid()));
+  static std::set<int> Given;
+  while (true) {
+    int Port = FirstPort + static_cast<int>(Random() % PortCount);
+    int Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Address = endpoint(Host, Port);
+    int Result =
+        ::bind(Fd, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+    ::close(Fd);
+    if (Result == 0 && Given.insert(Port).second) {
+      return Port;
+    }
+  }
 }
 
 // Store
