mesh: a departure is acknowledged once it outlasts the process

Cause: the acknowledgement was kept in the memory of the process that gave it. The next process took the late report as news and wrote the row back to ready. On the same cause, found by looking along it: draining reports acknowledged before the row was written; departures acknowledged while the store was away; another span of requests for a draining server whose daemon restarts; a DELETE that reaches a new process before the first report; a departed server whose refused connection made its row "gone".

Mended: a departure is acknowledged when the row says "leaving" in the store or a majority of five other daemons has confirmed it, else the answer is 503. A new process takes no report before it has read its row and asked the same daemons; the two majorities intersect. A DELETE for a server that is not known is not acknowledged.

Ruled out: a report that overtakes the announcement within one process (the case holds without the kill).

--- a/mesh/LocalServer.cpp
+++ b/mesh/LocalServer.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr std::array<const char *, 3> ReportVerdictNames = {"taken", "older",
-                                                            "foreign"};
+constexpr std::array<const char *, 4> ReportVerdictNames = {
+    "taken", "older", "foreign", "premature"};
 
 /// Fraction of the leave time during which a leaving backend server still
 /// receives requests. The check is made immediately before a request is sent,
@@ -23,6 +23,24 @@
 LocalServer::LocalServer(const MeshSettings &Config, const MeshView &View)
     : Config(Config), View(View) {}
 
+void LocalServer::recover(const InstanceRow *Own,
+                          const std::optional<ServerIncarnation> &Left) {
+  this->Recovered = true;
+  if (Own) {
+    this->LastReport.Incarnation = Own->Incarnation;
+    this->LastReport.Service = Own->Service;
+    this->LastReport.Slots = Own->Slots;
+  }
+  bool Departed = Own && Own->State == ServerState::Leaving;
+  if (Left && Left->StartedAt >= this->LastReport.Incarnation.StartedAt) {
+    this->LastReport.Incarnation = *Left;
+    Departed = true;
+  }
+  if (Departed) {
+    this->LeavingSince = TimePoint::min();
+  }
+}
+
 bool LocalServer::isForeign(const ServerReport &Report) const {
   const ConfigurationPtr &Active = this->View.configuration();
   bool Declared = Report.Service == this->Config.Service ||
@@ -32,17 +50,20 @@
 }
 
 bool LocalServer::isOlder(const ServerReport &Report) const {
-  if (!this->HasReport) {
+  if (!this->hasRow()) {
     return false;
   }
   if (Report.Incarnation == this->LastReport.Incarnation) {
-    return Report.Sequence <= this->LastReport.Sequence;
+    return this->HasReport && Report.Sequence <= this->LastReport.Sequence;
   }
   return Report.Incarnation.StartedAt < this->LastReport.Incarnation.StartedAt;
 }
 
 ReportVerdict LocalServer::applyReport(const ServerReport &Report,
                                        TimePoint Now) {
+  if (!this->Recovered) {
+    return ReportVerdict::Premature;
+  }
   if (this->isForeign(Report)) {
     return ReportVerdict::Foreign;
   }
@@ -50,9 +71,7 @@
     return ReportVerdict::Older;
   }
 
-  bool NewIncarnation =
-      !this->HasReport || Report.Incarnation != this->LastReport.Incarnation;
-  if (NewIncarnation) {
+  if (Report.Incarnation != this->LastReport.Incarnation) {
     this->LeavingSince.reset();
   }
   if (Report.Leaving && !this->LeavingSince) {
@@ -65,7 +84,7 @@
 }
 
 bool LocalServer::markLeaving(const std::string &ServerId, TimePoint Now) {
-  if (!this->HasReport || this->LastReport.Incarnation.Id != ServerId) {
+  if (this->LastReport.Incarnation.Id != ServerId) {
     return false;
   }
   if (!this->LeavingSince) {
@@ -77,14 +96,17 @@
 void LocalServer::onConnectionRefused() { this->ConnectionRefused = true; }
 
 ServerState LocalServer::state() const {
-  if (!this->HasReport || this->ConnectionRefused) {
-    return ServerState::Gone;
+  // A departure stays on record after the server's process has ended, since
+  // late reports may still arrive.
+  if (this->LeavingSince) {
+    return ServerState::Leaving;
   }
-  return this->LeavingSince ? ServerState::Leaving : ServerState::Ready;
+  bool Present = this->HasReport && !this->ConnectionRefused;
+  return Present ? ServerState::Ready : ServerState::Gone;
 }
 
 bool LocalServer::acceptsRequests(TimePoint Now) const {
-  if (this->state() == ServerState::Gone) {
+  if (!this->HasReport || this->ConnectionRefused) {
     return false;
   }
   auto Span = std::chrono::duration_cast<Duration>(this->Config.LeaveTime *
--- a/mesh/LocalServer.h
+++ b/mesh/LocalServer.h
@@ -14,6 +14,9 @@
   Older,
   /// Not from the local backend server.
   Foreign,
+  /// It is not known yet what earlier processes of this instance have
+  /// acknowledged.
+  Premature,
 };
 
 const char *nameOf(ReportVerdict Verdict);
@@ -25,6 +28,13 @@
 public:
   LocalServer(const MeshSettings &Config, const MeshView &View);
 
+  /// What earlier processes of this instance have acknowledged is known, and
+  /// reports are applied from now on. \p Own is the row that they have written,
+  /// and \p Left the newest backend server that is known to have departed here.
+  void recover(const InstanceRow *Own,
+               const std::optional<ServerIncarnation> &Left);
+  bool isRecovered() const { return this->Recovered; }
+
   ReportVerdict applyReport(const ServerReport &Report, TimePoint Now);
 
   /// The server announced its shutdown. Returns false when \p ServerId is not
@@ -35,7 +45,12 @@
   void onConnectionRefused();
 
   bool hasReport() const { return this->HasReport; }
+
+  /// Before the first report: what earlier processes have written of it.
   const ServerReport &lastReport() const { return this->LastReport; }
+
+  /// Whether there is a state to publish.
+  bool hasRow() const { return this->HasReport || this->LeavingSince; }
   ServerState state() const;
 
   /// Returns whether requests may be sent to it at \p Now.
@@ -58,7 +73,10 @@
   bool HasReport = false;
   bool ConnectionRefused = false;
 
-  /// When it first announced its shutdown.
+  bool Recovered = false;
+
+  /// When it first announced its shutdown; the earliest time when that was to
+  /// an earlier process.
   std::optional<TimePoint> LeavingSince;
 };
 
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.h"
 #include "mesh/CountingStore.h"
+#include "mesh/DepartureClient.h"
 #include "mesh/FailoverStoreTransport.h"
 #include "mesh/GrantClient.h"
 #include "mesh/OfferClient.h"
@@ -67,6 +68,7 @@
   void onServerChanged();
   void onServerRefusedConnection();
   void onViewChanged();
+  void recoverServer();
   std::unique_ptr<ServerGrants> makeGrants();
   std::vector<Address> relayPeers() const;
   HttpResponse servePeerCall(HttpRequest &Request, CallerWatch &Watch,
@@ -128,6 +130,8 @@
   StoreSync Sync;
   PeerViewSync Views;
   LocalServer Server;
+  DepartureClient Departures;
+  bool RecoveryStarted = false;
   OfferClient Offers;
   GrantClient GrantCaller;
 
@@ -173,7 +177,7 @@
           Adapters.MakeStore(Io, Transport), Counters)),
       Sync(Io, *StoreClient, View, *Adapters.Configurations, Config),
       Views(Io, View, Config.PeerAddress.Host), Server(Config, View),
-      Offers(Io, Config.PeerAddress.Host),
+      Departures(Io, View, Config), Offers(Io, Config.PeerAddress.Host),
       GrantCaller(Io, Server, *Adapters.Grants, *this), Grants(makeGrants()),
       KeyManager(Config.Instance, chooseProcessNumber(),
                  {Config.HeartbeatInterval, Config.MaxHoldTime}, View, *Grants,
@@ -182,8 +186,8 @@
                  [this] { this->onServerRefusedConnection(); }),
       Router(Io, Config, View, Server, Dispatcher, *Adapters.Requests, *this,
              Counters),
-      ServerReports(Io, View, Server, KeyManager, *Adapters.Reports,
-                    [this] { this->onServerChanged(); }),
+      ServerReports(Io, Config.Instance, View, Server, KeyManager, Departures,
+                    *Adapters.Reports, [this] { this->onServerChanged(); }),
       CallerServer(Io, limitsOf(Config),
                    [this](HttpRequest &Request, CallerWatch &Watch,
                           const asio::yield_context &Yield) {
@@ -300,6 +304,7 @@
 
 void MeshDaemon::onViewChanged() {
   this->applyConfiguration();
+  this->recoverServer();
   if (!this->GrantsByCall || this->GrantUpdatePosted) {
     return;
   }
@@ -314,6 +319,32 @@
   });
 }
 
+void MeshDaemon::recoverServer() {
+  if (this->RecoveryStarted || !this->View.hasReadBothTables()) {
+    return;
+  }
+
+  this->RecoveryStarted = true;
+  const InstanceId &Self = this->Config.Instance;
+  auto Finish = [this](const std::optional<ServerIncarnation> &Left) {
+    this->Server.recover(this->View.findInstance(this->Config.Instance), Left);
+    LogLine(LogLevel::Info, "daemon", "server_recovered")
+        .with("server", this->Server.lastReport().Incarnation.Id)
+        .with("state", nameOf(this->Server.state()));
+    this->onServerChanged();
+  };
+
+  // A departure in the store needs no witnesses, and an instance without a row
+  // had no backend server before.
+  const InstanceRow *Own = this->View.findInstance(Self);
+  bool Known = Own && Own->State == ServerState::Leaving;
+  if (Known || this->View.instanceVersion(Self) == 0) {
+    Finish(std::nullopt);
+  } else {
+    this->Departures.recover(Finish);
+  }
+}
+
 void MeshDaemon::onServerRefusedConnection() {
   this->Server.onConnectionRefused();
   this->KeyManager.onConnectionRefused(BootClock::now());
@@ -321,7 +352,7 @@
 }
 
 void MeshDaemon::onServerChanged() {
-  if (this->Server.hasReport()) {
+  if (this->Server.hasRow()) {
     this->Sync.setOwnRow(this->Server.toRow());
   }
 }
@@ -347,6 +378,9 @@
   if (auto Response = this->Views.handle(Request)) {
     return std::move(*Response);
   }
+  if (auto Response = this->Departures.handle(Request)) {
+    return std::move(*Response);
+  }
   if (auto Load = OfferClient::parseOffer(Request)) {
     return OfferClient::makeResponse(
         this->KeyManager.onOffer(*Load, BootClock::now()));
--- a/mesh/ReportHandler.cpp
+++ b/mesh/ReportHandler.cpp
@@ -17,14 +17,27 @@
 
 constexpr auto PollInterval = std::chrono::milliseconds(20);
 
+/// How long a report waits for what earlier processes have acknowledged, and a
+/// departure until it is kept; within the time in which the server accepts an
+/// acknowledgement.
+constexpr auto MaxRecoveryWait = std::chrono::milliseconds(400);
+constexpr auto MaxKeepWait = std::chrono::milliseconds(850);
+
+HttpResponse unavailable(const std::string &Detail) {
+  return problemResponse(http::status::service_unavailable,
+                         "report not acknowledged", Detail);
+}
+
 } // namespace
 
-ReportHandler::ReportHandler(asio::io_context &Io, const MeshView &View,
-                             LocalServer &Server, KeyOwnershipManager &Keeper,
+ReportHandler::ReportHandler(asio::io_context &Io, const InstanceId &Instance,
+                             const MeshView &View, LocalServer &Server,
+                             KeyOwnershipManager &Keeper,
+                             DepartureClient &Departures,
                              const ReportCodec &Codec,
                              std::function<void()> OnChange)
-    : Io(Io), View(View), Server(Server), Keeper(Keeper), Codec(Codec),
-      OnChange(std::move(OnChange)) {}
+    : Io(Io), Instance(Instance), View(View), Server(Server), Keeper(Keeper),
+      Departures(Departures), Codec(Codec), OnChange(std::move(OnChange)) {}
 
 HttpResponse ReportHandler::serve(HttpRequest &Request,
                                   const asio::yield_context &Yield) {
@@ -33,7 +46,7 @@
   case ServerCallKind::Report:
     return this->onReport(ServerId, Request.body(), Yield);
   case ServerCallKind::Leave:
-    return this->onLeave(ServerId);
+    return this->onLeave(ServerId, Yield);
   case ServerCallKind::Unknown:
     break;
   }
@@ -55,6 +68,7 @@
                            Reason);
   }
 
+  this->waitForRecovery(ReceivedAt, Yield);
   ServerState Before = this->Server.state();
   ServerIncarnation IncarnationBefore = this->Server.lastReport().Incarnation;
   ReportVerdict Verdict = this->Server.applyReport(*Report, ReceivedAt);
@@ -64,7 +78,9 @@
         .with("started", static_cast<long long>(Report->Incarnation.StartedAt))
         .with("sequence", static_cast<long long>(Report->Sequence))
         .with("reason", nameOf(Verdict));
-    return this->acknowledge(std::nullopt);
+    return Verdict == ReportVerdict::Premature
+               ? unavailable("earlier departures are not known yet")
+               : this->acknowledge(std::nullopt);
   }
 
   bool Changed = Before != this->Server.state() ||
@@ -79,12 +95,19 @@
   }
   this->OnChange();
 
+  // A report from before the departure may arrive after it.
+  Report->Leaving = this->Server.state() == ServerState::Leaving;
   ConfigurationPtr Active = this->View.configuration();
   bool Keyed = Active && Active->isKeyed(Report->Service);
+  if (Keyed) {
+    this->Keeper.onReport(*Report, BootClock::now());
+  }
+  if (Report->Leaving && !this->keepDeparture(ReceivedAt, Yield)) {
+    return unavailable("the departure is not kept yet");
+  }
   if (!Keyed) {
     return this->acknowledge(std::nullopt);
   }
-  this->Keeper.onReport(*Report, ReceivedAt);
   return this->acknowledge(this->waitForGrants(*Report, ReceivedAt, Yield));
 }
 
@@ -112,19 +135,60 @@
   return this->Keeper.issueGrants(ReceivedAt, BootClock::now());
 }
 
-HttpResponse ReportHandler::onLeave(const std::string &ServerId) {
-  TimePoint Now = BootClock::now();
-  if (this->Server.markLeaving(ServerId, Now)) {
-    LogLine(LogLevel::Info, "desk", "server_leaving").with("server", ServerId);
-    this->Keeper.onLeaving(Now);
-    this->OnChange();
-  } else {
-    LogLine(LogLevel::Info, "desk", "leave_ignored")
+HttpResponse ReportHandler::onLeave(const std::string &ServerId,
+                                    const asio::yield_context &Yield) {
+  TimePoint ReceivedAt = BootClock::now();
+  if (!this->waitForRecovery(ReceivedAt, Yield)) {
+    return unavailable("the backend server is not known yet");
+  }
+  if (!this->Server.markLeaving(ServerId, ReceivedAt)) {
+    LogLine(LogLevel::Info, "desk", "leave_refused")
         .with("server", ServerId)
         .with("known", this->Server.lastReport().Incarnation.Id)
-        .with("reason", "another backend server is here");
+        .with("reason", "not the backend server that is known here");
+    return unavailable("this backend server is not known here");
+  }
+
+  LogLine(LogLevel::Info, "desk", "server_leaving").with("server", ServerId);
+  if (this->Server.hasReport()) {
+    this->Keeper.onLeaving(BootClock::now());
+  }
+  this->OnChange();
+  return this->keepDeparture(ReceivedAt, Yield)
+             ? this->acknowledge(std::nullopt)
+             : unavailable("the departure is not kept yet");
+}
+
+bool ReportHandler::waitForRecovery(TimePoint ReceivedAt,
+                                    const asio::yield_context &Yield) {
+  while (!this->Server.isRecovered() &&
+         BootClock::now() < ReceivedAt + MaxRecoveryWait) {
+    sleepFor(this->Io, PollInterval, Yield);
+  }
+  return this->Server.isRecovered();
+}
+
+bool ReportHandler::isKept(const ServerIncarnation &Left) const {
+  const InstanceRow *Own = this->View.findInstance(this->Instance);
+  bool Stored =
+      Own && Own->Incarnation == Left && Own->State == ServerState::Leaving;
+  return Stored || this->Departures.isConfirmed(Left);
+}
+
+bool ReportHandler::keepDeparture(TimePoint ReceivedAt,
+                                  const asio::yield_context &Yield) {
+  ServerIncarnation Left = this->Server.lastReport().Incarnation;
+  while (!this->isKept(Left)) {
+    if (BootClock::now() >= ReceivedAt + MaxKeepWait) {
+      LogLine(LogLevel::Warning, "desk", "departure_not_kept")
+          .with("server", Left.Id)
+          .with("reason", "neither the store nor enough daemons confirmed it");
+      return false;
+    }
+    this->Departures.announce(Left);
+    sleepFor(this->Io, PollInterval, Yield);
   }
-  return this->acknowledge(std::nullopt);
+  return true;
 }
 
 HttpResponse
--- a/stand_ins/FakePlatformServer.cpp
+++ b/stand_ins/FakePlatformServer.cpp
@@ -309,6 +309,10 @@
   return Report;
 }
 
+std::string FakePlatformServer::takeReport() {
+  return writeJson(this->makeReport());
+}
+
 std::int64_t FakePlatformServer::startedAtUnixMs() {
   std::lock_guard Lock(this->Mutex);
   return this->StartedAtUnixMs;
--- a/stand_ins/FakePlatformServer.h
+++ b/stand_ins/FakePlatformServer.h
@@ -71,6 +71,9 @@
   /// Reports that it is draining from now on.
   void startDraining();
 
+  /// The body of a report made now, for a test that delivers it later.
+  std::string takeReport();
+
   /// Simulates a restart under \p Id: it holds no keys, and the sequence of its
   /// reports begins again.
   void restart(const std::string &Id);
--- a/tests/mesh/LocalServerTest.cpp
+++ b/tests/mesh/LocalServerTest.cpp
@@ -12,6 +12,7 @@
     this->Config.Service = "menus";
     this->Config.ServerAddress = {"10.0.0.1", 80};
     this->Config.LeaveTime = milliseconds(2000);
+    this->Server.recover(nullptr, std::nullopt);
   }
 
   ServerReport report(const std::string &Id, std::int64_t Started,
@@ -87,3 +88,53 @@
   Fixture.Server.applyReport(Fixture.report("a", 1, 2), Fixture.Now);
   cr_assert(Fixture.Server.state() == ServerState::Ready);
 }
+
+/// A report is not believed before the departures of earlier processes are
+/// known.
+Test(LocalServer, ReportsWaitForEarlierDepartures) {
+  ServerFixture Fixture;
+  LocalServer Restarted(Fixture.Config, Fixture.View);
+  cr_assert(Restarted.applyReport(Fixture.report("a", 100, 5), Fixture.Now) ==
+            ReportVerdict::Premature);
+  cr_assert(Restarted.state() == ServerState::Gone);
+  cr_assert(!Restarted.hasRow());
+}
+
+/// A departure that an earlier process acknowledged holds for its incarnation,
+/// whether the store or a witness knows it; a later incarnation is ready.
+Test(LocalServer, DepartureOutlastsItsProcess) {
+  ServerFixture Fixture;
+  Fixture.Server.applyReport(Fixture.report("a", 100, 5), Fixture.Now);
+  InstanceRow Ready = Fixture.Server.toRow();
+  Fixture.Server.markLeaving("a", Fixture.Now);
+  InstanceRow Leaving = Fixture.Server.toRow();
+  const std::vector<std::pair<InstanceRow, std::optional<ServerIncarnation>>>
+      Sources = {{Leaving, std::nullopt}, {Ready, ServerIncarnation{"a", 100}}};
+
+  for (const auto &[Row, Left] : Sources) {
+    LocalServer Restarted(Fixture.Config, Fixture.View);
+    Restarted.recover(&Row, Left);
+    cr_assert(Restarted.toRow().State == ServerState::Leaving);
+    Restarted.applyReport(Fixture.report("a", 100, 4), Fixture.Now);
+    Restarted.applyReport(Fixture.report("a", 100, 6), Fixture.Now);
+    cr_assert(Restarted.state() == ServerState::Leaving);
+    cr_assert(!Restarted.acceptsRequests(Fixture.Now));
+    cr_assert(Restarted.applyReport(Fixture.report("z", 99, 9), Fixture.Now) ==
+              ReportVerdict::Older);
+    Restarted.applyReport(Fixture.report("b", 101, 1), Fixture.Now);
+    cr_assert(Restarted.state() == ServerState::Ready);
+    cr_assert(Restarted.acceptsRequests(Fixture.Now));
+  }
+}
+
+/// The departure of a server that has been replaced says nothing of its
+/// successor.
+Test(LocalServer, EarlierDepartureDoesNotHoldForASuccessor) {
+  ServerFixture Fixture;
+  Fixture.Server.applyReport(Fixture.report("b", 200, 5), Fixture.Now);
+  InstanceRow Row = Fixture.Server.toRow();
+  LocalServer Restarted(Fixture.Config, Fixture.View);
+  Restarted.recover(&Row, ServerIncarnation{"a", 100});
+  Restarted.applyReport(Fixture.report("b", 200, 6), Fixture.Now);
+  cr_assert(Restarted.state() == ServerState::Ready);
+}
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -302,6 +302,13 @@
                                RequestTimeout);
 }
 
+ExchangeResult PlatformMesh::leave(int Index, const std::string &Id) {
+  HttpRequest Request(http::verb::delete_, "/api/instances/" + Id, 11);
+  Request.set(http::field::host, "daemon");
+  return this->Client.exchange({this->hostOf(Index), ReportPort}, Request,
+                               RequestTimeout);
+}
+
 bool PlatformMesh::isReady(int Index) {
   ExchangeResult Result = this->Client.get({this->hostOf(Index), ReadinessPort},
                                            "/api/readyz", RequestTimeout);
--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -65,6 +65,9 @@
   ExchangeResult report(int Index, const std::string &Id,
                         const std::string &Body);
 
+  /// Announces the shutdown of backend server \p Id to daemon \p Index.
+  ExchangeResult leave(int Index, const std::string &Id);
+
   bool isReady(int Index);
   bool allKeysHeld();
 
