net: a request id is sent once per connection

Cause: HttpClient gave the connection of a refusal back to the pool and the repetition of the same request went out on it; the copy of the refusal has the id of both. Responses were told apart after they had been read, by a predicate of the caller that knows nothing of what the connection carried before.

Mended where the bytes are read: a connection remembers the ids sent on it and carries none of them twice; after 512 it is closed. All exchanges with backend servers take this path. Interim responses (1xx) are no answers.

--- a/mesh/BackendDispatcher.cpp
+++ b/mesh/BackendDispatcher.cpp
@@ -263,9 +263,9 @@
   ExchangeOptions Bounds;
   Bounds.Deadline = Context.Deadline + FinalResponseSlack;
   Bounds.Watch = &Watch;
-  Bounds.MatchesRequest = [this, &Context](const HttpResponse &Response) {
-    std::string Id = this->HeaderCodec.readAnswer(Response).RequestId;
-    return Id.empty() || Id == Context.RequestId;
+  Bounds.RequestId = Context.RequestId;
+  Bounds.RequestIdOf = [this](const HttpResponse &Response) {
+    return this->HeaderCodec.readAnswer(Response).RequestId;
   };
   ExchangeResult Exchange = this->Client.exchange(
       this->Server.lastReport().ServerAddress, Request, Bounds, Yield);
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -58,18 +58,31 @@
 HttpClient::HttpClient(asio::io_context &Io, Limits Bounds)
     : Io(Io), Bounds(std::move(Bounds)) {}
 
-HttpClient::ConnectionPtr HttpClient::acquireIdle(const Address &Server) {
+bool HttpClient::mayCarry(const Connection &Conn,
+                          const ExchangeOptions &Options) {
+  bool Identified = !Options.RequestIdOf || !Options.RequestId.empty();
+  return Identified && !Conn.SentIds.contains(Options.RequestId);
+}
+
+HttpClient::ConnectionPtr
+HttpClient::acquireIdle(const Address &Server, const ExchangeOptions &Options) {
   auto Found = this->IdleConnections.find(Server);
   if (Found == this->IdleConnections.end()) {
     return nullptr;
   }
 
   std::vector<ConnectionPtr> &IdleToServer = Found->second;
-  while (!IdleToServer.empty()) {
-    ConnectionPtr Conn = std::move(IdleToServer.back());
-    IdleToServer.pop_back();
-    bool Usable = BootClock::now() < Conn->UsableUntil;
-    if (Usable && peek(Conn->Stream.socket()) == ConnectionState::Idle) {
+  for (std::size_t Index = IdleToServer.size(); Index-- > 0;) {
+    bool Usable = BootClock::now() < IdleToServer[Index]->UsableUntil;
+    bool Open = Usable && peek(IdleToServer[Index]->Stream.socket()) ==
+                              ConnectionState::Idle;
+    if (Open && !mayCarry(*IdleToServer[Index], Options)) {
+      continue;
+    }
+    ConnectionPtr Conn = std::move(IdleToServer[Index]);
+    IdleToServer.erase(IdleToServer.begin() +
+                       static_cast<std::ptrdiff_t>(Index));
+    if (Open) {
       return Conn;
     }
   }
@@ -131,7 +144,7 @@
                                     const asio::yield_context &Yield) {
   error_code Failure;
   CallerWatch *Watch = Options.Watch;
-  ConnectionPtr Conn = this->acquireIdle(Server);
+  ConnectionPtr Conn = this->acquireIdle(Server, Options);
 
   if (!Conn) {
     Conn = this->connect(Server, Options.Deadline, Failure, Yield);
@@ -156,9 +169,10 @@
   }
 
   bool NothingSent = Result.Outcome == ExchangeOutcome::TooLate;
-  bool Reusable =
-      NothingSent || (Result.Outcome == ExchangeOutcome::Answered &&
-                      Result.Response.keep_alive() && Conn->Buffer.size() == 0);
+  bool Reusable = NothingSent || (Result.Outcome == ExchangeOutcome::Answered &&
+                                  Result.Response.keep_alive() &&
+                                  Conn->SentIds.size() < MaxIdsPerConnection &&
+                                  Conn->Buffer.size() == 0);
   if (Reusable) {
     this->releaseConnection(Server, std::move(Conn));
   }
@@ -180,6 +194,10 @@
                           "the last time to send has passed");
   }
 
+  if (Options.RequestIdOf) {
+    Conn.SentIds.insert(Options.RequestId);
+  }
+
   // The response is read meanwhile: a server may answer before it has read a
   // long body, and read no further.
   auto Sending = std::make_shared<SendState>(this->Io);
@@ -221,6 +239,16 @@
   return Error;
 }
 
+bool HttpClient::belongsTo(const HttpResponse &Response,
+                           const ExchangeOptions &Options) {
+  if (!Options.RequestIdOf) {
+    return true;
+  }
+  std::string Id = Options.RequestIdOf(Response);
+  bool Interim = Response.result_int() < 200;
+  return !Interim && (Id.empty() || Id == Options.RequestId);
+}
+
 ExchangeResult HttpClient::readResponse(Connection &Conn,
                                         const HttpRequest &Request,
                                         const ExchangeOptions &Options,
@@ -239,7 +267,7 @@
     }
 
     HttpResponse Response = Parser.release();
-    if (Options.MatchesRequest && !Options.MatchesRequest(Response)) {
+    if (!belongsTo(Response, Options)) {
       continue;
     }
 
--- a/net/HttpClient.h
+++ b/net/HttpClient.h
@@ -45,9 +45,14 @@
   /// If set, the exchange is cancelled when this caller disconnects.
   CallerWatch *Watch = nullptr;
 
-  /// If set, tells whether a response belongs to this request. Others, left
-  /// over from earlier requests, are dropped.
-  std::function<bool(const HttpResponse &)> MatchesRequest = {};
+  /// If set, reads which request a response answers; empty when the response
+  /// does not tell. Responses to other requests, left over on the connection,
+  /// are dropped.
+  std::function<std::string(const HttpResponse &)> RequestIdOf = {};
+
+  /// With RequestIdOf: the id that the server repeats in its response. It may
+  /// be empty and is then not looked for.
+  std::string RequestId = {};
 };
 
 struct ExchangeResult {
@@ -66,7 +71,10 @@
 
 /// Sends requests over pooled connections. A connection carries one exchange
 /// at a time and is closed on any ambiguity, so that a response can never be
-/// taken for that of another request. Used from one thread.
+/// taken for that of another request. Where servers repeat the request's id,
+/// this holds for a server that sends a response again later as well: an id is
+/// sent once per connection, so a copy has the id of another request. Used from
+/// one thread.
 class HttpClient {
 public:
   struct Limits {
@@ -114,6 +122,10 @@
 
   static constexpr std::size_t MaxUnparsedBytes = 256 << 10;
 
+  /// A connection is closed after this many requests with ids, which it must
+  /// remember.
+  static constexpr std::size_t MaxIdsPerConnection = 512;
+
   struct Connection {
     explicit Connection(boost::asio::io_context &Io) : Stream(Io) {}
 
@@ -124,10 +136,14 @@
 
     /// The connection is not reused from this time on.
     TimePoint UsableUntil;
+
+    /// Ids of the requests that were sent on this connection.
+    std::set<std::string> SentIds;
   };
   using ConnectionPtr = std::unique_ptr<Connection>;
 
-  ConnectionPtr acquireIdle(const Address &Server);
+  ConnectionPtr acquireIdle(const Address &Server,
+                            const ExchangeOptions &Options);
   ConnectionPtr connect(const Address &Server, TimePoint Deadline,
                         boost::system::error_code &Failure,
                         const boost::asio::yield_context &Yield);
@@ -139,6 +155,9 @@
   ExchangeResult readResponse(Connection &Conn, const HttpRequest &Request,
                               const ExchangeOptions &Options,
                               const boost::asio::yield_context &Yield);
+  static bool mayCarry(const Connection &Conn, const ExchangeOptions &Options);
+  static bool belongsTo(const HttpResponse &Response,
+                        const ExchangeOptions &Options);
   boost::system::error_code readWhole(Connection &Conn, ResponseParser &Parser,
                                       const boost::asio::yield_context &Yield);
 
--- a/tests/net/HttpClientFaultTest.cpp
+++ b/tests/net/HttpClientFaultTest.cpp
@@ -68,8 +68,9 @@
     Request.set("Request-Id", Id);
     Request.body() = Body;
     ExchangeOptions Options = {.Deadline = BootClock::now() + Time};
-    Options.MatchesRequest = [Id](const HttpResponse &Response) {
-      return headerValue(Response, "Request-Id") == Id;
+    Options.RequestId = Id;
+    Options.RequestIdOf = [](const HttpResponse &Response) {
+      return headerValue(Response, "Request-Id");
     };
     tcp::endpoint At = this->Listener.local_endpoint();
     return this->Client.exchange({"127.0.0.1", At.port()}, Request, Options,
@@ -103,6 +104,13 @@
          Body;
 }
 
+/// A refusal; an empty \p Id is left out.
+std::string refusal(const std::string &Id) {
+  return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n" +
+         (Id.empty() ? "" : "Request-Id: " + Id + "\r\n") +
+         "Content-Length: 0\r\n\r\n";
+}
+
 bool send(tcp::socket &Socket, const std::string &Text,
           const asio::yield_context &Yield) {
   error_code Error;
@@ -152,6 +160,41 @@
   });
 }
 
+/// The server refuses a request and, while it runs the repetition of the same
+/// request, sends the refusal again: the repetition must not be taken for
+/// refused (REFUSED).
+Test(HttpClientFault, LateCopyOfARefusalToARepetition) {
+  bool Refused = false;
+  FaultFixture Fixture(
+      [&](tcp::socket &Socket, const asio::yield_context &Yield) {
+        std::string Copy;
+        while (true) {
+          std::string Id = requestIdIn(readHead(Socket, Yield));
+          send(Socket, Copy, Yield);
+          sleepFor(Fixture.Io, milliseconds(20), Yield);
+          bool Open =
+              send(Socket, Refused ? answer(Id, "ran") : refusal(Id), Yield);
+          if (!Open) {
+            return;
+          }
+          Copy = refusal(Id);
+          Refused = true;
+        }
+      });
+
+  Fixture.run([&](const asio::yield_context &Yield) {
+    ExchangeResult First = Fixture.exchange("a", "", seconds(2), Yield);
+    cr_assert_eq(First.Response.result_int(), 503);
+    ExchangeResult Repeated = Fixture.exchange("a", "", seconds(2), Yield);
+    cr_assert_eq(Repeated.Response.result_int(), 200);
+    cr_assert_eq(Repeated.Response.body(), "ran");
+
+    // Connections are still shared by requests that differ.
+    Fixture.exchange("b", "", seconds(2), Yield);
+    cr_assert_eq(Fixture.Connections, 2);
+  });
+}
+
 /// A second copy that arrives while the connection is idle must not be read as
 /// the next answer.
 Test(HttpClientFault, SecondCopyOnAnIdleConnection) {
