net: a connection is not used again after a response without an id

Cause: a response without an id was taken for the answer to whatever request was on its connection.

So all earlier responses of a connection have ids, and the next one without is no copy of them. Ruled out as a remedy: taking such refusals for unknown, as every shedding server sends them so and bookings that may be tried elsewhere would end with 502.

--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -169,10 +169,11 @@
   }
 
   bool NothingSent = Result.Outcome == ExchangeOutcome::TooLate;
-  bool Reusable = NothingSent || (Result.Outcome == ExchangeOutcome::Answered &&
-                                  Result.Response.keep_alive() &&
-                                  Conn->SentIds.size() < MaxIdsPerConnection &&
-                                  Conn->Buffer.size() == 0);
+  bool Reusable =
+      NothingSent ||
+      (Result.Outcome == ExchangeOutcome::Answered &&
+       Result.Response.keep_alive() && Conn->Attributable &&
+       Conn->SentIds.size() < MaxIdsPerConnection && Conn->Buffer.size() == 0);
   if (Reusable) {
     this->releaseConnection(Server, std::move(Conn));
   }
@@ -239,14 +240,22 @@
   return Error;
 }
 
-bool HttpClient::belongsTo(const HttpResponse &Response,
+bool HttpClient::belongsTo(Connection &Conn, const HttpResponse &Response,
                            const ExchangeOptions &Options) {
   if (!Options.RequestIdOf) {
     return true;
   }
+  if (Response.result_int() < 200) {
+    return false;
+  }
   std::string Id = Options.RequestIdOf(Response);
-  bool Interim = Response.result_int() < 200;
-  return !Interim && (Id.empty() || Id == Options.RequestId);
+  if (Id.empty()) {
+    // All earlier responses on this connection had ids, so this is no copy of
+    // one of them; but a later response could be a copy of this one.
+    Conn.Attributable = false;
+    return true;
+  }
+  return Id == Options.RequestId;
 }
 
 ExchangeResult HttpClient::readResponse(Connection &Conn,
@@ -267,7 +276,7 @@
     }
 
     HttpResponse Response = Parser.release();
-    if (!belongsTo(Response, Options)) {
+    if (!belongsTo(Conn, Response, Options)) {
       continue;
     }
 
--- a/net/HttpClient.h
+++ b/net/HttpClient.h
@@ -73,8 +73,9 @@
 /// at a time and is closed on any ambiguity, so that a response can never be
 /// taken for that of another request. Where servers repeat the request's id,
 /// this holds for a server that sends a response again later as well: an id is
-/// sent once per connection, so a copy has the id of another request. Used from
-/// one thread.
+/// sent once per connection, and a connection on which a response came without
+/// one is not used again, so a copy always has the id of another request. Used
+/// from one thread.
 class HttpClient {
 public:
   struct Limits {
@@ -139,6 +140,9 @@
 
     /// Ids of the requests that were sent on this connection.
     std::set<std::string> SentIds;
+
+    /// Whether a later response could be told from copies of earlier ones.
+    bool Attributable = true;
   };
   using ConnectionPtr = std::unique_ptr<Connection>;
 
@@ -156,7 +160,7 @@
                               const ExchangeOptions &Options,
                               const boost::asio::yield_context &Yield);
   static bool mayCarry(const Connection &Conn, const ExchangeOptions &Options);
-  static bool belongsTo(const HttpResponse &Response,
+  static bool belongsTo(Connection &Conn, const HttpResponse &Response,
                         const ExchangeOptions &Options);
   boost::system::error_code readWhole(Connection &Conn, ResponseParser &Parser,
                                       const boost::asio::yield_context &Yield);
--- a/tests/net/HttpClientFaultTest.cpp
+++ b/tests/net/HttpClientFaultTest.cpp
@@ -195,6 +195,61 @@
   });
 }
 
+/// The server refuses a request without naming it, and sends the refusal again
+/// while it runs the next one: that must not be taken for refused (TWICE,
+/// REFUSED).
+Test(HttpClientFault, LateCopyOfARefusalWithoutId) {
+  bool Refused = false;
+  FaultFixture Fixture(
+      [&](tcp::socket &Socket, const asio::yield_context &Yield) {
+        std::string Copy;
+        while (true) {
+          std::string Id = requestIdIn(readHead(Socket, Yield));
+          send(Socket, Copy, Yield);
+          sleepFor(Fixture.Io, milliseconds(20), Yield);
+          bool Open =
+              send(Socket, Refused ? answer(Id, "ran") : refusal(""), Yield);
+          if (!Open) {
+            return;
+          }
+          Copy = Refused ? "" : refusal("");
+          Refused = true;
+        }
+      });
+
+  Fixture.run([&](const asio::yield_context &Yield) {
+    ExchangeResult First = Fixture.exchange("a", "", seconds(2), Yield);
+    cr_assert_eq(First.Response.result_int(), 503);
+    for (const char *Id : {"b", "c", "d"}) {
+      ExchangeResult Next = Fixture.exchange(Id, "", seconds(2), Yield);
+      cr_assert_eq(Next.Response.result_int(), 200);
+    }
+    cr_assert_eq(Fixture.Connections, 2);
+  });
+}
+
+/// A server stops at any place of its answer's head and closes or resets: no
+/// caller may get the rest for a whole answer (MIXED).
+Test(HttpClientFault, HeadThatBreaksOff) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
+                           "Server-Stamp: s\r\nContent-Length: 4\r\n\r\n";
+  for (bool Reset : {false, true}) {
+    for (std::size_t Size = 0; Size < Head.size(); ++Size) {
+      FaultFixture Fixture(
+          [&](tcp::socket &Socket, const asio::yield_context &Yield) {
+            readHead(Socket, Yield);
+            send(Socket, Head.substr(0, Size), Yield);
+            Socket.set_option(asio::socket_base::linger(Reset, 0));
+          });
+      Fixture.run([&](const asio::yield_context &Yield) {
+        ExchangeResult Result = Fixture.exchange("a", "", seconds(2), Yield);
+        cr_assert(Result.Outcome == ExchangeOutcome::Ambiguous,
+                  "accepted after %zu bytes", Size);
+      });
+    }
+  }
+}
+
 /// A second copy that arrives while the connection is idle must not be read as
 /// the next answer.
 Test(HttpClientFault, SecondCopyOnAnIdleConnection) {
