mesh: what a stopping daemon takes is answered before it exits

Cause: a request's deadline knew nothing of the end of the process.

Mended: from SIGTERM on no request outlasts the moment 0.6 s before the kill, on arrival, before each attempt and where a peer's request is served.

Evidence: PlatformMesh.StopAnswersWhatItHasTaken failed before ("end of stream") and passes.

--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -37,6 +37,10 @@
 /// Safety margin before the platform kills the process.
 constexpr auto ExitMargin = std::chrono::milliseconds(400);
 
+/// Requests end this long before the platform kills the process, so that their
+/// answers are sent before it exits.
+constexpr auto LastAnswerMargin = std::chrono::milliseconds(600);
+
 constexpr auto ShutdownPollInterval = std::chrono::milliseconds(50);
 
 /// Value of the setting server.grants.
@@ -478,7 +482,7 @@
   TimePoint Now = BootClock::now();
   this->ShutdownStartedAt = Now;
   this->LastBusyAt = Now;
-  this->Router.startDraining();
+  this->Router.startDraining(Now + this->Config.StopTime - LastAnswerMargin);
   this->CallerServer.disableKeepAlive();
   this->PeerServer.disableKeepAlive();
   LogLine(LogLevel::Info, "daemon", "stop_begun")
--- a/mesh/RequestRouter.cpp
+++ b/mesh/RequestRouter.cpp
@@ -218,6 +218,9 @@
   AttemptResult Result = notRunResult(AttemptReason::NoInstance);
 
   while (!Watch.isGone()) {
+    // The shutdown may have begun since the last attempt.
+    State.Context.Deadline =
+        std::min(State.Context.Deadline, this->LastAnswerAt);
     TimePoint Now = BootClock::now();
     auto Instance = this->selectInstance(State, Now);
     if (Instance) {
@@ -572,6 +575,7 @@
     return hop::writeResult(this->admitBody(*Bytes, *Context));
   }
   Context->RequestId = this->HeaderCodec.readCallerHeaders(Request).RequestId;
+  Context->Deadline = std::min(Context->Deadline, this->LastAnswerAt);
   bool Reject = this->RejectingAll || (this->Draining && !Context->Key);
   AttemptResult Result =
       Reject ? notRunResult(AttemptReason::Leaving)
--- a/mesh/RequestRouter.h
+++ b/mesh/RequestRouter.h
@@ -52,8 +52,11 @@
                          const boost::asio::yield_context &Yield);
 
   /// Starts the shutdown: other daemons are told to use another instance where
-  /// possible.
-  void startDraining() { this->Draining = true; }
+  /// possible, and each request must be answered by \p AnswersUntil.
+  void startDraining(TimePoint AnswersUntil) {
+    this->Draining = true;
+    this->LastAnswerAt = AnswersUntil;
+  }
 
   /// Rejects all new requests, so that the requests in flight can complete in
   /// time.
@@ -122,6 +125,9 @@
   std::map<std::string, std::vector<OwnerHint>> OwnerHints;
   bool Draining = false;
   bool RejectingAll = false;
+
+  /// No request outlasts this time.
+  TimePoint LastAnswerAt = TimePoint::max();
 };
 
 } // namespace hemlockspar
--- a/tests/mesh/PlatformMeshTest.cpp
+++ b/tests/mesh/PlatformMeshTest.cpp
@@ -311,6 +311,38 @@
   cr_assert_eq(Mesh.waitForExit(2), 0);
 }
 
+/// A request that is taken during the grace of a stop is answered before the
+/// process exits, also when its backend server does not finish in time (LOST).
+Test(PlatformMesh, StopAnswersWhatItHasTaken) {
+  PlatformMesh Mesh(86, FourDaemons);
+  cr_assert(Mesh.start());
+  PlatformServerFaults Slow;
+  Slow.ServiceTime = milliseconds(5000);
+  Mesh.server(2).setFaults(Slow);
+  Mesh.server(3).setFaults(Slow);
+  Mesh.signalDaemon(2, SIGTERM);
+  std::vector<ExchangeResult> Results(3);
+  std::vector<std::thread> Callers;
+  for (std::size_t Index = 0; Index < Results.size(); ++Index) {
+    std::this_thread::sleep_for(milliseconds(700));
+    Callers.emplace_back([&Mesh, &Result = Results[Index]] {
+      HttpRequest Request(http::verb::post, "/bookings/1", 11);
+      Request.set(http::field::host, "spa.example");
+      Request.set("Request-Id", "taken-late");
+      Result = BlockingClient().exchange(Mesh.callerAddress(2), Request,
+                                         std::chrono::seconds(10));
+    });
+  }
+  for (std::thread &Caller : Callers) {
+    Caller.join();
+  }
+  for (const ExchangeResult &Result : Results) {
+    cr_assert(Result.Outcome == ExchangeOutcome::Answered, "no answer: %s",
+              Result.Error.c_str());
+  }
+  cr_assert_eq(Mesh.waitForExit(2), 0);
+}
+
 /// When all daemons start at once, the initial key layout includes all of them,
 /// although most learn of the others from peers and not from the store.
 Test(PlatformMesh, FirstLayoutCountsAll) {
