mesh: headers of a caller's request are no calls of its daemon

What callers saw: requests that bear a header which daemons use among themselves (Hs-View-Rows and others) ended with 502, and the receiving daemon acted on it.

Cause: a daemon looked for its peers' calls before it looked whether the message was a forwarded request, which bears the caller's headers. Mended there, for all such calls at once.

Evidence: PlatformMesh.CallersCannotCallDaemons failed before (Hs-View-Rows, 502) and passes.

--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -54,6 +54,10 @@
                                    Context.ConfigurationVersion));
 }
 
+bool isForwarded(const HttpRequest &Request) {
+  return Request.find(Header) != Request.end();
+}
+
 std::optional<AttemptContext> takeContext(HttpRequest &Request, TimePoint Now) {
   std::vector<std::string> Fields = splitHeader(Request);
   Request.erase(Header);
--- a/mesh/HopCodec.h
+++ b/mesh/HopCodec.h
@@ -13,6 +13,10 @@
 void writeContext(HttpRequest &Request, const AttemptContext &Context,
                   TimePoint Now);
 
+/// Whether \p Request is a caller's request or its admission, forwarded by
+/// another daemon, as opposed to a call of that daemon itself.
+bool isForwarded(const HttpRequest &Request);
+
 /// Removes the header from a request and decodes it; empty when it is missing
 /// or malformed. The request ID is not part of it.
 std::optional<AttemptContext> takeContext(HttpRequest &Request, TimePoint Now);
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -5,6 +5,7 @@
 #include "mesh/DepartureClient.h"
 #include "mesh/FailoverStoreTransport.h"
 #include "mesh/GrantClient.h"
+#include "mesh/HopCodec.h"
 #include "mesh/OfferClient.h"
 #include "mesh/PeerViewSync.h"
 #include "mesh/ReportGrants.h"
@@ -376,6 +377,10 @@
 
 HttpResponse MeshDaemon::servePeerCall(HttpRequest &Request, CallerWatch &Watch,
                                        const asio::yield_context &Yield) {
+  // A forwarded request has the headers of its caller, whatever their names.
+  if (hop::isForwarded(Request)) {
+    return this->Router.servePeer(Request, Watch, Yield);
+  }
   if (FailoverStoreTransport::isRelayCall(Request)) {
     return this->Transport.relay(Request, Yield);
   }
--- a/tests/mesh/PlatformMeshTest.cpp
+++ b/tests/mesh/PlatformMeshTest.cpp
@@ -343,6 +343,22 @@
   cr_assert_eq(Mesh.waitForExit(2), 0);
 }
 
+/// Headers that daemons use among themselves mean nothing in a caller's
+/// request, which is forwarded with them.
+Test(PlatformMesh, CallersCannotCallDaemons) {
+  PlatformMesh Mesh(87, FourDaemons);
+  cr_assert(Mesh.start());
+  for (const char *Name :
+       {"Hs-Offer", "Hs-View-Rows", "Hs-View-After", "Hs-Departed",
+        "Hs-Departed-At", "Hs-Body-Bytes", "Hemlockspar-Store-Call"}) {
+    for (int Index = 0; Index < 4; ++Index) {
+      ExchangeResult Result =
+          Mesh.send(Index, "/menus/7", {{"Shard-Key", "7"}, {Name, "1 1"}});
+      cr_assert(isServed(Result), "%s: status %u", Name, statusOf(Result));
+    }
+  }
+}
+
 /// When all daemons start at once, the initial key layout includes all of them,
 /// although most learn of the others from peers and not from the store.
 Test(PlatformMesh, FirstLayoutCountsAll) {
