net: the body of a request of unknown coding is no request

Cause: the parser takes a body that is neither chunked nor of a length for empty, and the connection was read on. Where the end of a body is not known, the request is refused with 400 and its connection closed.

Evidence: HttpServer.BodyOfUnknownCodingIsNoRequest failed without the check ("accepted gzip") and passes.

--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "core/Log.h"
 #include "net/Peek.h"
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -49,6 +50,15 @@
                          Error.message());
 }
 
+/// Whether the end of the request's body is known: it has a length, or chunked
+/// is its only transfer coding.
+bool hasReadableBody(const HttpRequest &Request) {
+  constexpr auto Field = http::field::transfer_encoding;
+  std::size_t Count = Request.count(Field);
+  return Count == 0 ||
+         (Count == 1 && boost::beast::iequals(Request[Field], "chunked"));
+}
+
 } // namespace
 
 struct HttpServer::Connection {
@@ -112,6 +122,11 @@
   Conn.Stream.expires_after(this->Limits.ReadTimeout);
   http::async_read(Conn.Stream, Conn.Buffer, Parser, Yield[Error]);
 
+  // The body of another coding could not be told from the next request.
+  if (!Error && !hasReadableBody(Parser.get())) {
+    Error = http::error::bad_transfer_encoding;
+  }
+
   if (Error) {
     auto Response = errorResponseFor(Error);
     if (Response) {
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -186,3 +186,32 @@
   }
   cr_assert_eq(Gone, 1);
 }
+
+/// A request whose transfer coding is not known must not have its body read as
+/// a request of its own (UNASKED).
+Test(HttpServer, BodyOfUnknownCodingIsNoRequest) {
+  asio::io_context Io;
+  std::vector<std::string> Served;
+  HttpServer Server(Io, {},
+                    [&](HttpRequest &Request, CallerWatch &, const auto &) {
+                      Served.emplace_back(Request.target());
+                      return HttpResponse(http::status::ok, 11);
+                    });
+  cr_assert(Server.listen({"127.0.0.1", 0}).ok());
+  asio::io_context CallerIo;
+  const std::string Hidden = "GET /hidden HTTP/1.1\r\nHost: test\r\n\r\n";
+  for (const char *Coding : {"gzip", "identity", "chunked, gzip", "xchunked"}) {
+    boost::system::error_code Error;
+    asio::ip::tcp::socket Caller(CallerIo);
+    Caller.connect(Server.localAddress().toEndpoint(Error));
+    asio::write(Caller,
+                asio::buffer("POST / HTTP/1.1\r\nHost: test\r\n"
+                             "Transfer-Encoding: " +
+                             std::string(Coding) + "\r\n\r\n" + Hidden));
+    Io.restart();
+    Io.run_for(std::chrono::milliseconds(100));
+    cr_assert(DrainFixture::readHead(Caller).starts_with("HTTP/1.1 400"),
+              "accepted %s", Coding);
+  }
+  cr_assert(Served.empty(), "served %s", Served.front().c_str());
+}
