mesh: an odd entry in place of a live server's is replaced

Cause: a row that cannot be parsed counted as none, so the write that should replace it was conditional on there being none and was refused each time. And a daemon wrote its row only when its own state changed. Mended: the view keeps the version of such a row and tells other daemons of it; each report compares the row in the view with the one that should be there. Rows of key maps and leases share the first cause and are not mended: replacing a key map needs proof that no grant under the lost one is held.

--- a/mesh/MeshView.cpp
+++ b/mesh/MeshView.cpp
@@ -68,11 +68,11 @@
 }
 
 void MeshView::applyRow(const TableRow &Row) {
-  RowVersion &Known = this->RowVersions[Row.Key];
-  if (Row.Version <= Known) {
+  SeenRow &Known = this->SeenRows[Row.Key];
+  if (Row.Version <= Known.Version) {
     return;
   }
-  Known = Row.Version;
+  Known = {Row.Version, Row.Value.has_value()};
 
   if (auto Instance = nameIn(Row.Key, tables::Instances)) {
     auto Parsed = Row.Value ? InstanceRow::fromText(*Row.Value) : std::nullopt;
@@ -103,11 +103,12 @@
     Listed.insert(Row.Key);
   }
 
-  for (const auto &[Key, Version] : this->RowVersions) {
+  for (auto &[Key, Seen] : this->SeenRows) {
     auto Name = nameIn(Key, Rows.Table.c_str());
-    if (!Name || Version > Rows.Version || Listed.contains(Key)) {
+    if (!Name || Seen.Version > Rows.Version || Listed.contains(Key)) {
       continue;
     }
+    Seen.Present = false;
     if (Rows.Table == tables::Instances) {
       this->Instances.erase(*Name);
     } else {
@@ -141,11 +142,10 @@
   RowVersion Complete = this->completeVersion(Table);
   std::string Prefix = rowKey(Table, "");
 
-  for (auto Row = this->RowVersions.lower_bound(Prefix);
-       Row != this->RowVersions.end() && Row->first.starts_with(Prefix);
-       ++Row) {
-    if (Row->second <= Complete) {
-      Newest = std::max(Newest, Row->second);
+  for (auto Row = this->SeenRows.lower_bound(Prefix);
+       Row != this->SeenRows.end() && Row->first.starts_with(Prefix); ++Row) {
+    if (Row->second.Version <= Complete) {
+      Newest = std::max(Newest, Row->second.Version);
     }
   }
   return Newest;
@@ -158,12 +158,15 @@
   Later.Version = this->completeVersion(Table);
   std::string Prefix = rowKey(Table, "");
 
-  for (auto Row = this->RowVersions.lower_bound(Prefix);
-       Row != this->RowVersions.end() && Row->first.starts_with(Prefix);
-       ++Row) {
-    if (Row->second > Version) {
-      Later.Rows.push_back(
-          {Row->first, Row->second, this->rowText(Row->first)});
+  for (auto Row = this->SeenRows.lower_bound(Prefix);
+       Row != this->SeenRows.end() && Row->first.starts_with(Prefix); ++Row) {
+    // A row that could not be parsed must not look deleted to others.
+    auto Text = this->rowText(Row->first);
+    if (Row->second.Present && !Text) {
+      Text = "";
+    }
+    if (Row->second.Version > Version) {
+      Later.Rows.push_back({Row->first, Row->second.Version, std::move(Text)});
     }
   }
   return Later;
@@ -193,10 +196,9 @@
 }
 
 RowVersion MeshView::instanceVersion(const InstanceId &Instance) const {
-  auto Found = this->RowVersions.find(instanceKey(Instance));
-  bool Present =
-      Found != this->RowVersions.end() && this->findInstance(Instance);
-  return Present ? Found->second : 0;
+  auto Found = this->SeenRows.find(instanceKey(Instance));
+  bool Present = Found != this->SeenRows.end() && Found->second.Present;
+  return Present ? Found->second.Version : 0;
 }
 
 const MeshView::VersionedKeyMap *
--- a/mesh/MeshView.h
+++ b/mesh/MeshView.h
@@ -52,7 +52,8 @@
   }
   const InstanceRow *findInstance(const InstanceId &Instance) const;
 
-  /// Version at which the row of \p Instance was last written; 0 when absent.
+  /// Version at which the row of \p Instance was last written, also when the
+  /// row is malformed; 0 when absent.
   RowVersion instanceVersion(const InstanceId &Instance) const;
 
   /// Null when the service's keys have never had owners.
@@ -85,6 +86,12 @@
   void addListener(std::function<void()> OnChange);
 
 private:
+  /// What is known of a row, whether or not it could be parsed.
+  struct SeenRow {
+    RowVersion Version = 0;
+    bool Present = false;
+  };
+
   void applyRow(const TableRow &Row);
   void removeUnlisted(const StoreRows &Rows);
   RowVersion newestCompleteRow(const std::string &Table) const;
@@ -95,8 +102,8 @@
   std::map<InstanceId, InstanceRow> Instances;
   std::map<std::string, VersionedKeyMap> KeyMaps;
 
-  /// Versions of all rows seen, including deleted ones.
-  std::map<std::string, RowVersion> RowVersions;
+  /// All rows seen, including deleted ones.
+  std::map<std::string, SeenRow> SeenRows;
 
   /// Version of the newest read of each whole table.
   std::map<std::string, RowVersion> ReadVersions;
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -297,9 +297,8 @@
 }
 
 void StoreSync::setOwnRow(const InstanceRow &Row) {
-  bool Unchanged = this->OwnRow && *this->OwnRow == Row;
   this->OwnRow = Row;
-  if (!Unchanged && !this->WriteInFlight) {
+  if (!this->WriteInFlight) {
     this->writeOwnRow();
   }
 }
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -21,7 +21,8 @@
 
   void start();
 
-  /// Sets the row that describes this instance to others.
+  /// Sets the row that describes this instance to others, and writes it if the
+  /// store has another one, which may be malformed.
   void setOwnRow(const InstanceRow &Row);
 
   /// Reads the complete table of keys into the view.
--- a/tests/mesh/MeshViewTest.cpp
+++ b/tests/mesh/MeshViewTest.cpp
@@ -72,6 +72,26 @@
   cr_assert(View.instances().empty());
 }
 
+/// A malformed row is there all the same: its version is the condition of the
+/// write that replaces it, also where it was learned from another daemon.
+Test(MeshView, MalformedRowsHaveVersions) {
+  MeshView View;
+  View.apply(
+      rows({{MeshView::instanceKey("a"), 3, "{\"instance\":"}}, true, 5));
+  cr_assert_eq(View.instanceVersion("a"), 3);
+  MeshView Other;
+  Other.apply(View.rowsAfter(tables::Instances, 0));
+  cr_assert_eq(Other.instanceVersion("a"), 3);
+  cr_assert(!Other.findInstance("a"));
+
+  View.apply(rows({{MeshView::instanceKey("a"), 6, std::nullopt}}, false, 0));
+  cr_assert_eq(View.instanceVersion("a"), 0);
+  View.apply(rows({{MeshView::instanceKey("a"), 7, "["}}, false, 0));
+  View.apply(rows({}, true, 8));
+  cr_assert_eq(View.instanceVersion("a"), 0,
+               "a row that is gone has a version");
+}
+
 /// The rows that a view knows after some version bring another view up to the
 /// same point; rows that are known ahead of missing ones must not count as
 /// complete.
--- a/tests/mesh/PlatformMeshTest.cpp
+++ b/tests/mesh/PlatformMeshTest.cpp
@@ -249,6 +249,31 @@
   cr_assert(headerValue(Result.Response, "Retry-After") != "");
 }
 
+/// An entry of another writer in place of a live backend server's is replaced,
+/// at the next report as well as after a restart of all daemons (RECOVER).
+Test(PlatformMesh, SpoiledEntriesAreReplaced) {
+  PlatformMesh Mesh(88, FourDaemons);
+  cr_assert(Mesh.start());
+  auto IsReplaced = [&](const std::string &Spoiled) {
+    return Mesh.waitUntil(
+        [&] { return Mesh.store().find("hemlockspar", "d2") != Spoiled; },
+        std::chrono::seconds(15));
+  };
+  for (const char *Spoiled : {"[[", "{}", "\x01"}) {
+    Mesh.store().put("hemlockspar", "d2", Spoiled);
+    cr_assert(IsReplaced(Spoiled), "%s was not replaced", Spoiled);
+  }
+
+  for (int Index = 0; Index < 4; ++Index) {
+    Mesh.signalDaemon(Index, SIGKILL);
+  }
+  Mesh.store().put("hemlockspar", "d2", "[[");
+  for (int Index = 0; Index < 4; ++Index) {
+    Mesh.startDaemon(Index);
+  }
+  cr_assert(IsReplaced("[["), "not replaced after a restart");
+}
+
 /// Reports from other hosts and malformed reports have no effect.
 Test(PlatformMesh, ForgedReportsChangeNothing) {
   PlatformMesh Mesh(70, FourDaemons);
