mesh: a late copy confirms no release of keys

What backend servers would see (OWNER): keys given to another owner while requests for them still run, when the server sends its response to a grant once more and the copy is taken for the response to a release.

Mended: each release has a connection of its own. Grants share theirs, as a copy taken for the response to a grant is refused by the server with 421.

Evidence: GrantClient.LateCopyConfirmsNoRelease failed with the shared connections ("a copy confirmed the release") and passes. Seen in the test alone; deployments that grant by calls are not in force.

--- a/mesh/GrantClient.cpp
+++ b/mesh/GrantClient.cpp
@@ -26,6 +26,12 @@
   return Bounds;
 }
 
+HttpClient::Limits releaseLimits() {
+  HttpClient::Limits Bounds = grantLimits();
+  Bounds.MaxIdleConnections = 0;
+  return Bounds;
+}
+
 std::string rangeText(const KeyRange &Keys) {
   return std::to_string(Keys.First) + ".." + std::to_string(Keys.Last);
 }
@@ -35,7 +41,7 @@
 GrantClient::GrantClient(asio::io_context &Io, const LocalServer &Server,
                          const GrantCodec &Codec, Listener &Results)
     : Io(Io), Server(Server), Codec(Codec), Results(Results),
-      Client(Io, grantLimits()) {}
+      Client(Io, grantLimits()), ReleaseClient(Io, releaseLimits()) {}
 
 void GrantClient::grant(GrantCallNumber Number, const GrantedKeys &Grant,
                         Duration HoldTime) {
@@ -76,7 +82,7 @@
       this->Io,
       [this, Number, Grant](const asio::yield_context &Yield) {
         HttpRequest Request = this->Codec.encodeRelease(Grant);
-        ExchangeResult Exchange = this->Client.exchange(
+        ExchangeResult Exchange = this->ReleaseClient.exchange(
             this->Server.lastReport().ServerAddress, Request,
             {.Deadline = BootClock::now() + ReleaseTimeout}, Yield);
 
--- a/mesh/GrantClient.h
+++ b/mesh/GrantClient.h
@@ -36,6 +36,10 @@
   const GrantCodec &Codec;
   Listener &Results;
   HttpClient Client;
+
+  /// Each release has a connection of its own: responses have no ids, and a
+  /// late copy of an earlier one would confirm a release whose keys are in use.
+  HttpClient ReleaseClient;
 };
 
 } // namespace hemlockspar
