mesh: decode home regions, cold bounds and evacuations

Cause: the fields home_regions, cold_start, cold_per_s and cold_left, the rows evacuate/ZONE and the kind download were decoded nowhere, so no decision could use them.

Change: decoding, the set of evacuated data centres in MeshView, two reasons of attempts. Nothing decides by them yet, except that downloads may be repeated.

Measured: not yet; tests JsonConfigurationCodec.UnreadableHomesAllowNoRegion, InvalidColdBoundsAreIgnored, KindsOfLargeTransfers, RecognisesEvacuations and MeshView.OlderEvacuationsAreIgnored.

--- a/mesh/Attempt.cpp
+++ b/mesh/Attempt.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr std::array<const char *, 13> TryReasonNames = {
-    "none",         "no-instance", "not-owner",  "key-moving",  "no-server",
-    "leaving",      "refused",     "busy",       "unreachable", "broken",
-    "wrong-answer", "time-over",   "caller-gone"};
+constexpr std::array<const char *, 15> TryReasonNames = {
+    "none",        "no-instance", "not-owner",    "key-moving", "no-server",
+    "leaving",     "refused",     "busy",         "cold",       "no-home",
+    "unreachable", "broken",      "wrong-answer", "time-over",  "caller-gone"};
 
 constexpr std::array<const char *, 3> VerdictNames = {"ran", "not-run",
                                                       "wrong-server"};
--- a/mesh/Attempt.h
+++ b/mesh/Attempt.h
@@ -23,6 +23,12 @@
   ServerRefused,
   /// The expected wait for a slot is too long.
   Busy,
+  /// The backend server is cold and has received as many requests as it
+  /// tolerates.
+  Cold,
+  /// The instance is not in a region in which the route may be served, or there
+  /// is none that is.
+  NoHome,
   /// A connection to the instance could not be established.
   Unreachable,
   /// The connection broke after the request was sent.
--- a/mesh/Configuration.cpp
+++ b/mesh/Configuration.cpp
@@ -2,6 +2,8 @@
 
 #include "core/EnumNames.h"
 
+#include <algorithm>
+
 namespace hemlockspar {
 
 namespace {
@@ -32,6 +34,13 @@
   return Best;
 }
 
+const Route *Configuration::findRouteByName(std::string_view Name) const {
+  auto Found =
+      std::find_if(this->Routes.begin(), this->Routes.end(),
+                   [&](const Route &Entry) { return Entry.Name == Name; });
+  return Found == this->Routes.end() ? nullptr : &*Found;
+}
+
 bool Configuration::isKeyed(const std::string &Service) const {
   auto Found = this->Services.find(Service);
   return Found != this->Services.end() && Found->second.Keyed;
--- a/mesh/Configuration.h
+++ b/mesh/Configuration.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,6 +52,10 @@
 
   /// Priority rank of the route; 0 is served first.
   std::uint32_t Priority = 0;
+
+  /// The only regions in which requests may be served and their bodies stored;
+  /// without a value anywhere, with an empty list nowhere.
+  std::optional<std::vector<std::string>> HomeRegions;
 };
 
 /// Declaration of a service.
@@ -66,6 +71,12 @@
   /// How long requests for a key are slow when it moves without the previous
   /// owner's state.
   Duration WarmUp{};
+
+  /// How long a backend server stays cold after it has started.
+  Duration ColdStart{};
+
+  /// Requests per second that a cold backend server tolerates; 0 for no bound.
+  double ColdRequestsPerSecond = 0;
 };
 
 /// Limits on callers' requests and connections.
@@ -87,6 +98,9 @@
   /// or null. The port in \p Host is ignored.
   const Route *findRoute(std::string_view Host, std::string_view Path) const;
 
+  /// Returns the route called \p Name, or null.
+  const Route *findRouteByName(std::string_view Name) const;
+
   /// Whether keys of \p Service have owners.
   bool isKeyed(const std::string &Service) const;
 };
--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -14,7 +14,7 @@
 /// Size of a body whose admission is asked for.
 constexpr char AdmissionHeader[] = "Hs-Body-Bytes";
 constexpr std::size_t ContextFieldCount = 9;
-constexpr std::size_t ResultFieldCount = 17;
+constexpr std::size_t ResultFieldCount = 21;
 
 /// Fractions are encoded as integer hundredths.
 constexpr double Hundredths = 100;
@@ -86,21 +86,25 @@
   HttpResponse Response =
       Answered ? std::move(Result.Response)
                : HttpResponse(http::status::service_unavailable, 11);
-  ServerLoad Load = Result.Load.value_or(ServerLoad{0, 0, 0, 0, {}});
-
-  Response.set(Header,
-               absl::StrCat(nameOf(Result.Outcome), " ", nameOf(Result.Reason),
-                            " ", Result.ReachedServer ? 1 : 0, " ",
-                            toMilliseconds(Result.ExpectedWait), " ",
-                            Load.Running, " ", Load.Waiting, " ", Load.Slots,
-                            " ", toMilliseconds(Load.MeanRunTime), " ",
-                            Result.ConfigurationVersion, " ",
-                            Result.Owner.empty() ? NoValue : Result.Owner, " ",
-                            Result.OwnerKeys.First, " ", Result.OwnerKeys.Last,
-                            " ", std::lround(Load.OfferedLoad * Hundredths),
-                            " ", Result.View.Instances, " ", Result.View.Keys,
-                            " ", toMilliseconds(Result.RunTime), " ",
-                            Result.OwnerMapVersion));
+  ServerLoad Load = Result.Load.value_or(ServerLoad{.Slots = 0});
+
+  Response.set(
+      Header,
+      absl::StrCat(nameOf(Result.Outcome), " ", nameOf(Result.Reason), " ",
+                   Result.ReachedServer ? 1 : 0, " ",
+                   toMilliseconds(Result.ExpectedWait), " ", Load.Running, " ",
+                   Load.Waiting, " ", Load.Slots, " ",
+                   toMilliseconds(Load.MeanRunTime), " ",
+                   Result.ConfigurationVersion, " ",
+                   Result.Owner.empty() ? NoValue : Result.Owner, " ",
+                   Result.OwnerKeys.First, " ", Result.OwnerKeys.Last, " ",
+                   std::lround(Load.OfferedLoad * Hundredths), " ",
+                   Result.View.Instances, " ", Result.View.Keys, " ",
+                   toMilliseconds(Result.RunTime), " ", Result.OwnerMapVersion,
+                   " ", toMilliseconds(Load.ColdLeft), " ",
+                   std::lround(Load.ColdRequestsPerSecond * Hundredths), " ",
+                   std::lround(Load.Pace * Hundredths), " ",
+                   toMilliseconds(Load.LinkBacklog)));
   return Response;
 }
 
@@ -136,6 +140,11 @@
                  static_cast<RowVersion>(parseNumber(Fields[14]))};
   Result.RunTime = parseMilliseconds(Fields[15]);
   Result.OwnerMapVersion = static_cast<RowVersion>(parseNumber(Fields[16]));
+  Load.ColdLeft = parseMilliseconds(Fields[17]);
+  Load.ColdRequestsPerSecond =
+      static_cast<double>(parseNumber(Fields[18])) / Hundredths;
+  Load.Pace = static_cast<double>(parseNumber(Fields[19])) / Hundredths;
+  Load.LinkBacklog = parseMilliseconds(Fields[20]);
   if (Load.Slots > 0) {
     Result.Load = Load;
   }
--- a/mesh/MeshView.cpp
+++ b/mesh/MeshView.cpp
@@ -2,8 +2,8 @@
 
 #include "core/Log.h"
 
+#include <absl/strings/str_join.h>
 #include <algorithm>
-#include <set>
 
 namespace hemlockspar {
 
@@ -51,6 +51,24 @@
   return true;
 }
 
+void MeshView::setEvacuated(const std::set<std::string> &DataCenters,
+                            RowVersion Version) {
+  if (Version < this->EvacuatedVersion) {
+    return;
+  }
+  this->EvacuatedVersion = Version;
+  if (DataCenters == this->Evacuated) {
+    return;
+  }
+
+  LogLine(LogLevel::Info, "view", "evacuation_changed")
+      .with("version", static_cast<long long>(Version))
+      .with("before", absl::StrJoin(this->Evacuated, ","))
+      .with("now", absl::StrJoin(DataCenters, ","));
+  this->Evacuated = DataCenters;
+  this->notifyListeners();
+}
+
 void MeshView::apply(const StoreRows &Rows) {
   for (const TableRow &Row : Rows.Rows) {
     this->applyRow(Row);
--- a/mesh/MeshView.h
+++ b/mesh/MeshView.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 namespace hemlockspar {
 
@@ -42,6 +43,17 @@
   /// Applies rows of the instance table and the table of key maps.
   void apply(const StoreRows &Rows);
 
+  /// Sets the data centres whose evacuation operators ask for, as known at
+  /// \p Version of the table; an older version changes nothing.
+  void setEvacuated(const std::set<std::string> &DataCenters,
+                    RowVersion Version);
+
+  /// Whether nothing may be sent to the backend servers of \p DataCenter.
+  bool isEvacuated(const std::string &DataCenter) const {
+    return this->Evacuated.contains(DataCenter);
+  }
+  const std::set<std::string> &evacuated() const { return this->Evacuated; }
+
   /// Null before the first configuration is known.
   const ConfigurationPtr &configuration() const {
     return this->ActiveConfiguration;
@@ -99,6 +111,8 @@
   void notifyListeners();
 
   ConfigurationPtr ActiveConfiguration;
+  std::set<std::string> Evacuated;
+  RowVersion EvacuatedVersion = 0;
   std::map<InstanceId, InstanceRow> Instances;
   std::map<std::string, VersionedKeyMap> KeyMaps;
 
--- a/mesh/ReportCodec.h
+++ b/mesh/ReportCodec.h
@@ -37,6 +37,11 @@
   /// Name of the row that holds the newest configuration.
   virtual std::string rowName() const = 0;
 
+  /// The data centre whose evacuation the row \p RowName asks for as long as it
+  /// exists, whatever its value; nothing for other rows.
+  virtual std::optional<std::string>
+  evacuatedDataCenter(const std::string &RowName) const = 0;
+
   /// Decodes a configuration; the error describes the fault.
   virtual absl::StatusOr<struct Configuration>
   decode(const std::string &Text) const = 0;
--- a/mesh/ServerLoad.h
+++ b/mesh/ServerLoad.h
@@ -18,6 +18,18 @@
 
   /// Mean time for which a request occupies a slot.
   Duration MeanRunTime{};
+
+  /// How long the backend server stays cold, and how many requests per second
+  /// it may get meanwhile; zero when it is not cold or tolerates any number.
+  Duration ColdLeft{};
+  double ColdRequestsPerSecond = 0;
+
+  /// How long work takes on the server's machine at this moment, relative to
+  /// the usual time; 0 when that is not known.
+  double Pace = 0;
+
+  /// How long the large responses that wait for the instance's link will take.
+  Duration LinkBacklog{};
 };
 
 } // namespace hemlockspar
--- a/mesh/ServerReport.h
+++ b/mesh/ServerReport.h
@@ -69,6 +69,9 @@
   /// Number of requests that it runs concurrently.
   std::uint32_t Slots = 0;
 
+  /// How long the server stays cold; empty when it does not tell.
+  std::optional<Duration> ColdLeft;
+
   /// Asks for no new requests, since the server is about to stop.
   bool Leaving = false;
   std::vector<HeldKeys> Held;
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -211,11 +211,31 @@
     this->View.apply(Rows);
     return;
   }
+  this->applyEvacuations(Rows);
   for (const TableRow &Row : Rows.Rows) {
     this->applyConfiguration(Row);
   }
 }
 
+void StoreSync::applyEvacuations(const StoreRows &Rows) {
+  std::set<std::string> DataCenters =
+      Rows.Complete ? std::set<std::string>() : this->View.evacuated();
+  std::string TablePrefix = rowKey(tables::Operator, "");
+
+  for (const TableRow &Row : Rows.Rows) {
+    auto DataCenter = Row.Key.starts_with(TablePrefix)
+                          ? this->Codec.evacuatedDataCenter(
+                                Row.Key.substr(TablePrefix.size()))
+                          : std::nullopt;
+    if (DataCenter && Row.Value) {
+      DataCenters.insert(*DataCenter);
+    } else if (DataCenter) {
+      DataCenters.erase(*DataCenter);
+    }
+  }
+  this->View.setEvacuated(DataCenters, Rows.Version);
+}
+
 void StoreSync::applyConfiguration(const TableRow &Row) {
   bool IsConfiguration =
       Row.Key == rowKey(tables::Operator, this->Codec.rowName());
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -75,6 +75,7 @@
   bool isConfigurationStale() const;
   void readConfiguration();
   void applyConfiguration(const TableRow &Row);
+  void applyEvacuations(const StoreRows &Rows);
   void writeOwnRow();
   void onOwnRowWritten(const InstanceRow &Written, const StoreCommit &Commit);
 
--- a/tests/mesh/MeshViewTest.cpp
+++ b/tests/mesh/MeshViewTest.cpp
@@ -113,3 +113,13 @@
   cr_assert(Second.findInstance("b") && Second.findInstance("c"));
   cr_assert_eq(Second.completeVersion(tables::Instances), 12);
 }
+
+/// A late answer of the store must not bring back an evacuation that has ended.
+Test(MeshView, OlderEvacuationsAreIgnored) {
+  MeshView View;
+  View.setEvacuated({"north-a"}, 7);
+  cr_assert(View.isEvacuated("north-a"));
+  View.setEvacuated({}, 9);
+  View.setEvacuated({"north-a"}, 7);
+  cr_assert_not(View.isEvacuated("north-a"));
+}
--- a/tests/platform/JsonConfigurationCodecTest.cpp
+++ b/tests/platform/JsonConfigurationCodecTest.cpp
@@ -106,3 +106,69 @@
   cr_assert_gt(Only.Priority, 0);
   cr_assert_geq(Decoded->Limits.HeaderBytes, 16384);
 }
+
+/// A restriction to regions that cannot be read must not be dropped: requests
+/// would reach regions that the operator excluded.
+Test(JsonConfigurationCodec, UnreadableHomesAllowNoRegion) {
+  auto HomesOf = [](const std::string &Homes) {
+    auto Decoded = JsonConfigurationCodec().decode(
+        R"({"version":"r7","resources":[)"
+        R"({"resource_kind":"routes","metadata":{"name":"a"},"spec":{)"
+        R"("hostname":"h","prefix":"/a/","timeout":"1s","service":"x",)"
+        R"("home_regions":)" +
+        Homes + "}}]}");
+    cr_assert(Decoded.ok() && Decoded->Routes.size() == 1);
+    return Decoded->Routes[0].HomeRegions;
+  };
+  using Regions = std::vector<std::string>;
+
+  cr_assert(HomesOf(R"(["north","south"])") == Regions({"north", "south"}));
+  cr_assert(!HomesOf("[]") && !HomesOf("null"));
+  cr_assert(HomesOf("\"north\"") == Regions());
+  cr_assert(HomesOf("[7]") == Regions());
+  cr_assert(HomesOf("{\"north\":1}") == Regions());
+}
+
+/// A bound on a cold server that makes no sense must not refuse every request.
+Test(JsonConfigurationCodec, InvalidColdBoundsAreIgnored) {
+  auto RateOf = [](const std::string &Rate) {
+    auto Decoded = JsonConfigurationCodec().decode(
+        R"({"version":"r7","resources":[)"
+        R"({"resource_kind":"services","metadata":{"name":"x"},"spec":{)"
+        R"("cold_start":"3s","cold_per_s":)" +
+        Rate + "}}]}");
+    cr_assert(Decoded.ok());
+    return Decoded->Services["x"].ColdRequestsPerSecond;
+  };
+
+  cr_assert_eq(RateOf("7.8"), 7.8);
+  for (const char *Odd : {"-1", "1e300", "\"7.8\"", "null", "{}"}) {
+    cr_assert_eq(RateOf(Odd), 0, "%s", Odd);
+  }
+}
+
+/// Downloads may be repeated, uploads may not.
+Test(JsonConfigurationCodec, KindsOfLargeTransfers) {
+  auto Decoded = JsonConfigurationCodec().decode(
+      R"({"version":"r7","resources":[)"
+      R"({"resource_kind":"routes","metadata":{"name":"d"},"spec":{)"
+      R"("hostname":"h","prefix":"/d/","timeout":"1s","service":"x",)"
+      R"("route_kind":"download"}},)"
+      R"({"resource_kind":"routes","metadata":{"name":"u"},"spec":{)"
+      R"("hostname":"h","prefix":"/u/","timeout":"1s","service":"x",)"
+      R"("route_kind":"upload"}}]})");
+  cr_assert(Decoded.ok());
+  cr_assert(Decoded->findRouteByName("d")->Retry == RetryPolicy::Repeatable);
+  cr_assert(Decoded->findRouteByName("u")->Retry == RetryPolicy::OnceOnly);
+  cr_assert(!Decoded->findRouteByName("x"));
+}
+
+/// Only rows of evacuations name a data centre.
+Test(JsonConfigurationCodec, RecognisesEvacuations) {
+  JsonConfigurationCodec Codec;
+  cr_assert(Codec.evacuatedDataCenter("evacuate/north-a") == "north-a");
+  for (const char *Other :
+       {"config", "evacuate/", "evacuate", "x/evacuate/y"}) {
+    cr_assert(!Codec.evacuatedDataCenter(Other), "%s", Other);
+  }
+}
