mesh: homes, evacuations, cold servers, the pace of machines, former keys

Change: mesh/placement/ with HomePolicy, KeyPlacement, SpareCapacity, ColdStartLimiter and ServerPace, all free of I/O; the router, the dispatcher, the picker and the key ownership ask them. Without homes, cold bounds, evacuations and a stated pace all is as before. KeyOwnershipManager gives the keys of other services away once no grant from before can be held.

--- a/mesh/BackendDispatcher.cpp
+++ b/mesh/BackendDispatcher.cpp
@@ -34,6 +34,15 @@
 /// progress.
 constexpr auto KeyPollInterval = std::chrono::milliseconds(20);
 
+/// In an evacuated data centre requests for keys are still served for this long
+/// while the keys are handed over: one report of the server and one write. Well
+/// below the time within which operators expect the requests to end.
+constexpr Duration EvacuationKeyGrace = std::chrono::milliseconds(1500);
+
+/// Other daemons are told that a server is cold for this long at most: a report
+/// tells the rest.
+constexpr Duration MaxReportedCold = std::chrono::seconds(10);
+
 /// Upper bound of the wait for a key, which is also limited like the wait for a
 /// slot: a handover completes within 1.5 s unless something else fails.
 constexpr auto MaxKeyWait = std::chrono::milliseconds(1500);
@@ -64,15 +73,16 @@
   }
 
   Event Decided;
+  bool HasKey = false;
   AdmissionVerdict Verdict = AdmissionVerdict::Shed;
 };
 
-BackendDispatcher::BackendDispatcher(asio::io_context &Io, LocalServer &Server,
-                                     KeyAdmission &Keys,
+BackendDispatcher::BackendDispatcher(asio::io_context &Io, const MeshView &View,
+                                     LocalServer &Server, KeyAdmission &Keys,
                                      const RequestHeaderCodec &Codec,
                                      MeshMetrics &Counters,
                                      std::function<void()> OnConnectionRefused)
-    : Io(Io), Server(Server), Keys(Keys), HeaderCodec(Codec),
+    : Io(Io), View(View), Server(Server), Keys(Keys), HeaderCodec(Codec),
       Counters(Counters), OnConnectionRefused(std::move(OnConnectionRefused)),
       Client(Io, serverLimits()),
       Queue(nonAdaptiveLimits(), RouteTimes,
@@ -88,15 +98,42 @@
   if (!Available) {
     return notRunResult(AttemptReason::ServerUnavailable);
   }
-  if (!this->Server.acceptsRequests(Now)) {
+  if (!this->Server.acceptsRequests(Now) || this->isEvacuated(Context, Now)) {
     return notRunResult(AttemptReason::Leaving);
   }
+  if (!this->Server.isHomeOf(Context.RouteName)) {
+    return notRunResult(AttemptReason::NoHome);
+  }
   if (Now >= Context.Deadline) {
     return notRunResult(AttemptReason::TimeOver);
   }
   return std::nullopt;
 }
 
+bool BackendDispatcher::isEvacuated(const AttemptContext &Context,
+                                    TimePoint Now) const {
+  Duration Grace = Context.Key ? EvacuationKeyGrace : Duration::zero();
+  return this->EvacuatedSince && Now >= *this->EvacuatedSince + Grace;
+}
+
+void BackendDispatcher::onViewChanged() {
+  if (this->Server.isEvacuated() == this->EvacuatedSince.has_value()) {
+    return;
+  }
+  if (this->EvacuatedSince) {
+    this->EvacuatedSince.reset();
+    this->Server.assumeCold();
+    return;
+  }
+
+  this->EvacuatedSince = BootClock::now();
+  for (const auto &[Number, Waiting] : this->Waiters) {
+    if (!Waiting->HasKey && this->Queue.cancel(Number)) {
+      Waiting->decide(AdmissionVerdict::Shed);
+    }
+  }
+}
+
 bool BackendDispatcher::waitForKey(const AttemptContext &Context,
                                    const asio::yield_context &Yield) {
   TimePoint Now = BootClock::now();
@@ -115,7 +152,8 @@
 
 Duration BackendDispatcher::expectedWait(std::uint32_t Rank) const {
   double Wait = static_cast<double>(this->Queue.countStartsBefore(Rank)) *
-                this->MeanRunSeconds / this->Queue.limit();
+                this->MeanRunSeconds * this->Pace.factor(BootClock::now()) /
+                this->Queue.limit();
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(Wait));
 }
@@ -169,23 +207,53 @@
                            this->Queue.countStartsBefore(Context.Rank),
                            this->Queue.limit(), Now);
   if (Wait > this->maxWait(Context, Now)) {
-    AttemptResult Refusal = notRunResult(AttemptReason::Busy, Wait);
-    Refusal.Load = this->load();
-    return Refusal;
+    return this->refusal(AttemptReason::Busy, Wait);
+  }
+  this->updateColdStart(Context.Service);
+  if (!this->ColdStart.tryReserve(Context.Rank, Now)) {
+    return this->refusal(AttemptReason::Cold, this->ColdStart.untilNext(Now));
   }
 
   RequestNumber Number = ++this->LastNumber;
   if (!this->admit(Number, Context, Watch, Yield)) {
-    AttemptResult Refusal =
-        notRunResult(AttemptReason::Busy, this->expectedWait(0));
-    Refusal.Load = this->load();
-    return Refusal;
+    this->ColdStart.onDropped();
+    return this->refusal(AttemptReason::Busy, this->expectedWait(0));
   }
+  return this->serveAdmitted(Number, Request, Context, Watch, Yield);
+}
 
+AttemptResult BackendDispatcher::refusal(AttemptReason Reason,
+                                         Duration Wait) const {
+  AttemptResult Refusal = notRunResult(Reason, Wait);
+  Refusal.Load = this->load();
+  return Refusal;
+}
+
+void BackendDispatcher::updateColdStart(const std::string &Service) {
+  const ConfigurationPtr &Active = this->View.configuration();
+  if (!Active) {
+    return;
+  }
+  auto Declared = Active->Services.find(Service);
+  this->ColdStart.setTolerated(Declared == Active->Services.end()
+                                   ? 0
+                                   : Declared->second.ColdRequestsPerSecond);
+  this->ColdStart.setColdUntil(this->Server.coldUntil());
+}
+
+AttemptResult BackendDispatcher::serveAdmitted(
+    RequestNumber Number, HttpRequest &Request, const AttemptContext &Context,
+    CallerWatch &Watch, const asio::yield_context &Yield) {
   TimePoint DispatchedAt = BootClock::now();
+  double PaceBefore = this->Pace.factor(DispatchedAt);
+  this->ColdStart.onSent(Context.Rank, DispatchedAt);
   AttemptResult Result = this->dispatch(Request, Context, Watch, Yield);
-  Now = BootClock::now();
-  Duration RunTime = Now - DispatchedAt;
+  TimePoint Now = BootClock::now();
+
+  // Learned without the slowness of the moment.
+  double MeanPace = (PaceBefore + this->Pace.factor(Now)) / 2;
+  auto RunTime =
+      std::chrono::duration_cast<Duration>((Now - DispatchedAt) / MeanPace);
 
   bool Overloaded = Result.Reason == AttemptReason::ServerRefused;
   this->updateUtilisation(Now);
@@ -205,6 +273,7 @@
                               const AttemptContext &Context, CallerWatch &Watch,
                               const asio::yield_context &Yield) {
   Waiter Entry(this->Io);
+  Entry.HasKey = Context.Key.has_value();
   this->Waiters[Number] = &Entry;
   this->updateUtilisation(BootClock::now());
 
@@ -292,6 +361,9 @@
   }
 
   ServerAnswer Answer = this->HeaderCodec.readAnswer(Exchange.Response);
+  if (Answer.Pace) {
+    this->Pace.record(*Answer.Pace, BootClock::now());
+  }
   if (Answer.Verdict == ServerVerdict::Ran) {
     bool Matches = Answer.Credible && Answer.RequestId == Context.RequestId;
     if (!Matches) {
@@ -316,11 +388,17 @@
 }
 
 ServerLoad BackendDispatcher::load() const {
+  TimePoint Now = BootClock::now();
   ServerLoad Load;
+  Load.Pace = this->Pace.known(Now);
+  Load.ColdLeft =
+      std::min<Duration>(this->ColdStart.coldLeft(Now), MaxReportedCold);
+  Load.ColdRequestsPerSecond =
+      Load.ColdLeft > Duration::zero() ? this->ColdStart.tolerated() : 0;
   Load.Running = static_cast<std::uint32_t>(this->Queue.running());
   Load.Waiting = static_cast<std::uint32_t>(this->Queue.waiting());
   Load.Slots = this->Queue.limit();
-  Load.OfferedLoad = this->offeredSlots(BootClock::now()) / this->Queue.limit();
+  Load.OfferedLoad = this->offeredSlots(Now) / this->Queue.limit();
   Load.MeanRunTime = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(this->MeanRunSeconds));
   return Load;
--- a/mesh/BackendDispatcher.h
+++ b/mesh/BackendDispatcher.h
@@ -7,6 +7,8 @@
 #include "mesh/MeshMetrics.h"
 #include "mesh/RequestHeaderCodec.h"
 #include "mesh/WaitPolicy.h"
+#include "mesh/placement/ColdStartLimiter.h"
+#include "mesh/placement/ServerPace.h"
 #include "net/HttpClient.h"
 
 namespace hemlockspar {
@@ -19,9 +21,9 @@
 public:
   /// \p OnConnectionRefused is called when the backend server's address refuses
   /// a connection.
-  BackendDispatcher(boost::asio::io_context &Io, LocalServer &Server,
-                    KeyAdmission &Keys, const RequestHeaderCodec &Codec,
-                    MeshMetrics &Counters,
+  BackendDispatcher(boost::asio::io_context &Io, const MeshView &View,
+                    LocalServer &Server, KeyAdmission &Keys,
+                    const RequestHeaderCodec &Codec, MeshMetrics &Counters,
                     std::function<void()> OnConnectionRefused);
 
   AttemptResult serve(HttpRequest &Request, const AttemptContext &Context,
@@ -47,14 +49,24 @@
 
   std::size_t running() const { return this->Queue.running(); }
 
+  /// The view has changed: when the data centre is evacuated, requests that
+  /// wait for a slot are refused.
+  void onViewChanged();
+
 private:
   struct Waiter;
 
   std::optional<AttemptResult> checkServer(const AttemptContext &Context) const;
+  bool isEvacuated(const AttemptContext &Context, TimePoint Now) const;
   bool waitForKey(const AttemptContext &Context,
                   const boost::asio::yield_context &Yield);
   Duration expectedWait(std::uint32_t Rank) const;
   Duration maxWait(const AttemptContext &Context, TimePoint Now) const;
+  void updateColdStart(const std::string &Service);
+  AttemptResult refusal(AttemptReason Reason, Duration Wait) const;
+  AttemptResult serveAdmitted(RequestNumber Number, HttpRequest &Request,
+                              const AttemptContext &Context, CallerWatch &Watch,
+                              const boost::asio::yield_context &Yield);
   bool admit(RequestNumber Number, const AttemptContext &Context,
              CallerWatch &Watch, const boost::asio::yield_context &Yield);
   void applyVerdicts();
@@ -69,6 +81,7 @@
   double recentOfferedSlots(TimePoint Now) const;
 
   boost::asio::io_context &Io;
+  const MeshView &View;
   LocalServer &Server;
   KeyAdmission &Keys;
   const RequestHeaderCodec &HeaderCodec;
@@ -78,9 +91,14 @@
   ServiceTimeEstimator RouteTimes;
   AdmissionQueue Queue;
   StandingQueue Standing;
+  ColdStartLimiter ColdStart;
+  ServerPace Pace;
   std::map<RequestNumber, Waiter *> Waiters;
   RequestNumber LastNumber = 0;
 
+  /// Since when the evacuation of the data centre has been known here.
+  std::optional<TimePoint> EvacuatedSince;
+
   /// Mean run time at the backend server, in seconds.
   double MeanRunSeconds;
 
--- a/mesh/InstancePicker.cpp
+++ b/mesh/InstancePicker.cpp
@@ -1,5 +1,7 @@
 #include "mesh/InstancePicker.h"
 
+#include "mesh/placement/ServerPace.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -47,6 +49,11 @@
 /// the state lasts longer.
 constexpr auto UnavailableExclusion = std::chrono::milliseconds(400);
 
+/// A sender that was refused by a cold server tries it again after at least
+/// this time, or the stated wait, times a random factor up to the maximum.
+constexpr auto MinColdExclusion = std::chrono::milliseconds(200);
+constexpr double MaxColdSpread = 3;
+
 double seconds(Duration Span) {
   return std::chrono::duration<double>(Span).count();
 }
@@ -61,7 +68,8 @@
 std::optional<InstanceId>
 InstancePicker::pick(const MeshView &View, const std::string &Service,
                      const std::string &RouteName,
-                     const std::set<InstanceId> &Tried, TimePoint Now) {
+                     const std::set<InstanceId> &Tried, TimePoint Now,
+                     const Filter &MayUse) {
   const InstanceRow *Best = nullptr;
   double BestCost = 0;
   auto FoundRoute = this->MeanRouteSeconds.find(RouteName);
@@ -71,7 +79,10 @@
 
   for (const auto &[Name, Row] : View.instances()) {
     bool Eligible = Row.Service == Service && Row.State == ServerState::Ready &&
-                    !Tried.contains(Name) && !this->isSuspect(Name, Now);
+                    !Tried.contains(Name) && !this->isSuspect(Name, Now) &&
+                    !View.isEvacuated(Row.DataCenter) &&
+                    (!MayUse || MayUse(Row)) &&
+                    !this->isTooCold(View, Row, Now);
     if (!Eligible) {
       continue;
     }
@@ -94,6 +105,36 @@
   return Best->Instance;
 }
 
+bool InstancePicker::isTooCold(const MeshView &View, const InstanceRow &Row,
+                               TimePoint Now) {
+  InstanceStats &Entry = this->Stats[Row.Instance];
+  bool Restarted =
+      !Entry.Incarnation.Id.empty() && Entry.Incarnation != Row.Incarnation;
+  Entry.Incarnation = Row.Incarnation;
+
+  const ConfigurationPtr &Active = View.configuration();
+  if (Restarted && Active) {
+    auto Declared = Active->Services.find(Row.Service);
+    bool Limited = Declared != Active->Services.end() &&
+                   Declared->second.ColdRequestsPerSecond > 0;
+    if (Limited) {
+      std::uniform_real_distribution<double> Share(0, 1);
+      Entry.ColdUntil =
+          Now + std::chrono::duration_cast<Duration>(
+                    Declared->second.ColdStart * Share(this->Random));
+    }
+  }
+  return Now < Entry.ColdUntil;
+}
+
+void InstancePicker::onCold(const InstanceId &Instance, Duration Wait,
+                            TimePoint Now) {
+  std::uniform_real_distribution<double> Spread(1, MaxColdSpread);
+  Duration Least = std::max<Duration>(Wait, MinColdExclusion);
+  this->Stats[Instance].ColdUntil =
+      Now + std::chrono::duration_cast<Duration>(Least * Spread(this->Random));
+}
+
 double InstancePicker::expectedCost(const InstanceRow &Row, double RouteSeconds,
                                     TimePoint Now) {
   InstanceStats &Entry = this->Stats[Row.Instance];
@@ -106,6 +147,11 @@
   double Run = HasLoad       ? RouteSeconds * RelativeTime
                : InOwnRegion ? 0
                              : RouteSeconds;
+  bool PaceKnown =
+      Entry.Load.Pace > 0 && Now - Entry.LoadReceivedAt <= MaxPaceAge;
+  double Pace = PaceKnown ? Entry.Load.Pace : 1;
+  Mean *= Pace;
+  Run *= Pace;
   double Slots = std::max<double>(Row.Slots, 1);
 
   double Decay = std::exp(-std::max(seconds(Now - Entry.LoadReceivedAt), 0.0) /
--- a/mesh/InstancePicker.h
+++ b/mesh/InstancePicker.h
@@ -22,13 +22,17 @@
   InstancePicker(std::string Region, std::string DataCenter,
                  std::uint64_t Seed);
 
-  /// Selects an instance for a request of \p Service on the route \p RouteName,
-  /// excluding those in \p Tried. Empty when no instance is eligible.
+  /// Restricts the choice to instances for which it returns true.
+  using Filter = std::function<bool(const InstanceRow &Row)>;
+
+  /// Selects an instance for a request of \p Service on the route \p RouteName
+  /// that \p MayUse allows, excluding those in \p Tried and in evacuated data
+  /// centres. Empty when no instance is eligible.
   std::optional<InstanceId> pick(const MeshView &View,
                                  const std::string &Service,
                                  const std::string &RouteName,
                                  const std::set<InstanceId> &Tried,
-                                 TimePoint Now);
+                                 TimePoint Now, const Filter &MayUse = {});
 
   void onRequestSent(const InstanceId &Instance);
   void onRequestEnded(const InstanceId &Instance);
@@ -45,6 +49,11 @@
   void onUnreachable(const InstanceId &Instance, TimePoint Now);
   void onReachable(const InstanceId &Instance);
 
+  /// The backend server of \p Instance is cold and takes its next request in
+  /// about \p Wait. Spreads the next tries of all senders over the time after
+  /// that, so that they do not all return to one server.
+  void onCold(const InstanceId &Instance, Duration Wait, TimePoint Now);
+
   /// The backend server of \p Instance accepts no requests at present.
   void onUnavailable(const InstanceId &Instance, TimePoint Now);
 
@@ -58,11 +67,18 @@
     ServerLoad Load;
     TimePoint LoadReceivedAt;
 
+    /// Not chosen before, since the server is cold.
+    TimePoint ColdUntil;
+
+    /// The incarnation of the server that was last seen in the row.
+    ServerIncarnation Incarnation;
+
     /// Run time relative to the mean of the same route, smoothed; 0 before the
     /// first request.
     double RelativeRunTime = 0;
   };
 
+  bool isTooCold(const MeshView &View, const InstanceRow &Row, TimePoint Now);
   double expectedCost(const InstanceRow &Row, double RouteSeconds,
                       TimePoint Now);
 
--- a/mesh/KeyOwnershipManager.cpp
+++ b/mesh/KeyOwnershipManager.cpp
@@ -3,6 +3,8 @@
 #include "core/EnumNames.h"
 #include "mesh/CallGrants.h"
 #include "mesh/FleetScale.h"
+#include "mesh/placement/KeyPlacement.h"
+#include "mesh/placement/SpareCapacity.h"
 
 #include <algorithm>
 #include <cmath>
@@ -11,10 +13,10 @@
 
 namespace {
 
-constexpr std::array<const char *, 10> KeyEventNames = {
-    "first_layout",   "lease_lost",    "lease_held",        "run_adopted",
-    "handover_begun", "handover_done", "handover_given_up", "server_lost",
-    "taken_over",     "write_failed"};
+constexpr std::array<const char *, 11> KeyEventNames = {
+    "first_layout",   "lease_lost",    "lease_held",          "run_adopted",
+    "handover_begun", "handover_done", "handover_given_up",   "server_lost",
+    "taken_over",     "write_failed",  "former_keys_given_up"};
 
 /// A grant outlasts this many heartbeats, so that three reports in a row may be
 /// late before requests are rejected.
@@ -151,7 +153,8 @@
                                          TimePoint Now)
     : Instance(Instance), Opts(Opts), View(View), Grants(Grants),
       Actions(Actions), Lease(Instance, Process, {}), Random(Process),
-      LastReportAt(Now), CandidatesChangedAt(Now) {}
+      LastReportAt(Now), CandidatesChangedAt(Now),
+      FormerGrantsEndAt(Now + onSlowestServerClock(holdTime(Opts))) {}
 
 Duration KeyOwnershipManager::holdTime(const Options &Opts) {
   return std::min(Opts.Heartbeat * HeartbeatsPerHold, Opts.MaxHoldTime);
@@ -184,6 +187,7 @@
     this->Grants.onServerEnded(Now);
     this->Handovers.clear();
     this->Leaving = false;
+    this->FormerGrantsEndAt = Now + onSlowestServerClock(holdTime(this->Opts));
   }
 
   this->Report = Report;
@@ -392,7 +396,7 @@
 
   bool Free = this->PendingWrite == MapWrite::None &&
               !this->hasUncertainWrite() && Now >= this->WriteRetryAt;
-  if (!Free) {
+  if (!Free || this->tryGiveUpFormerKeys(Now)) {
     return;
   }
   if (!this->map()) {
@@ -408,13 +412,20 @@
 
 std::vector<OwnerCandidate>
 KeyOwnershipManager::candidates(bool WithSelf, TimePoint Now) const {
+  return this->candidatesOf(this->service(), WithSelf, Now);
+}
+
+std::vector<OwnerCandidate>
+KeyOwnershipManager::candidatesOf(const std::string &Service, bool WithSelf,
+                                  TimePoint Now) const {
   std::vector<OwnerCandidate> Found;
   auto StoreTime = this->Clock.earliestStoreTime(Now);
+  KeyPlacement Placement(this->View, Service);
 
   for (const auto &[Name, Row] : this->View.instances()) {
     bool Own = Name == this->Instance;
-    bool Eligible = Row.Service == this->service() &&
-                    Row.State == ServerState::Ready && (!Own || WithSelf);
+    bool Eligible = Row.Service == Service && Row.State == ServerState::Ready &&
+                    (!Own || WithSelf) && Placement.mayOwn(Row);
     if (!Eligible) {
       continue;
     }
@@ -453,7 +464,7 @@
     return false;
   }
   bool Confirmed = this->CandidatesConfirmed == Confirmation::Done;
-  if (All.empty() || this->Leaving || !Confirmed) {
+  if (All.empty() || !this->mayOwnKeys() || !Confirmed) {
     return false;
   }
 
@@ -473,9 +484,10 @@
 
 std::size_t KeyOwnershipManager::rankInService() const {
   std::size_t Rank = 0;
+  KeyPlacement Placement(this->View, this->service());
   for (const auto &[Name, Row] : this->View.instances()) {
     bool Before = Name < this->Instance && Row.Service == this->service() &&
-                  Row.State == ServerState::Ready;
+                  Row.State == ServerState::Ready && Placement.mayOwn(Row);
     Rank += Before ? 1 : 0;
   }
   return Rank;
@@ -514,7 +526,7 @@
 bool KeyOwnershipManager::tryFinishHandovers(TimePoint Now) {
   KeyMap Updated = this->map()->Map;
   return this->Handovers.assignReleased(Updated, Now) &&
-         this->writeMapUnderLease(MapWrite::Handover, Updated);
+         this->writeMapUnderLease(MapWrite::Handover, this->service(), Updated);
 }
 
 bool KeyOwnershipManager::tryReassignLostServer(TimePoint Now) {
@@ -536,7 +548,8 @@
        distributeEvenly(Updated, Lost, Others)) {
     Updated.assign(Handover.Keys, Handover.Receiver, "");
   }
-  if (!this->writeMapUnderLease(MapWrite::ServerLost, Updated)) {
+  if (!this->writeMapUnderLease(MapWrite::ServerLost, this->service(),
+                                Updated)) {
     return false;
   }
   this->Handovers.clear();
@@ -544,6 +557,39 @@
   return true;
 }
 
+bool KeyOwnershipManager::tryGiveUpFormerKeys(TimePoint Now) {
+  if (Now < this->FormerGrantsEndAt) {
+    return false;
+  }
+
+  for (const auto &[Service, Known] : this->View.keyMaps()) {
+    std::vector<KeyRange> Former;
+    if (Service != this->service()) {
+      for (const KeyMapEntry &Entry : Known.Map.entriesOf(this->Instance)) {
+        Former.push_back(Entry.Keys);
+      }
+    }
+    std::vector<OwnerCandidate> Owners =
+        Former.empty() ? std::vector<OwnerCandidate>()
+                       : this->candidatesOf(Service, false, Now);
+    if (Owners.empty()) {
+      continue;
+    }
+
+    KeyMap Updated = Known.Map;
+    for (const PlannedHandover &Handover :
+         distributeEvenly(Updated, Former, Owners)) {
+      Updated.assign(Handover.Keys, Handover.Receiver, "");
+    }
+    if (this->writeMapUnderLease(MapWrite::FormerKeys, Service, Updated)) {
+      this->Actions.onKeyEvent(KeyEvent::FormerKeysGivenUp,
+                               Service + ": " + countText(Former));
+      return true;
+    }
+  }
+  return false;
+}
+
 std::vector<KeyRange>
 KeyOwnershipManager::collectOrphanedKeys(const KeyMap &Map,
                                          TableTransaction &Write) const {
@@ -586,8 +632,14 @@
   return true;
 }
 
+bool KeyOwnershipManager::mayOwnKeys() const {
+  const InstanceRow *Own = this->View.findInstance(this->Instance);
+  return !this->Leaving &&
+         (!Own || KeyPlacement(this->View, this->service()).mayOwn(*Own));
+}
+
 void KeyOwnershipManager::offerKeys(TimePoint Now) {
-  if (this->Leaving) {
+  if (!this->mayOwnKeys()) {
     this->startLeavingHandovers(Now);
     return;
   }
@@ -662,7 +714,7 @@
   const MeshView::VersionedKeyMap *Known = this->map();
   std::uint32_t Held = Known ? Known->Map.keyCount(this->Instance) : 0;
   bool Empty = Known && Held == 0 && this->Offers.incomingLoad(Now) == 0;
-  bool CanAccept = this->HasReport && !this->Leaving &&
+  bool CanAccept = this->HasReport && this->mayOwnKeys() &&
                    !this->ConnectionRefused && this->hasAuthority(Now) &&
                    this->Handovers.empty();
   bool Wanted = Empty || GiverLoad - Load >= MinLoadGap;
@@ -738,9 +790,13 @@
     return;
   }
 
-  for (const PlannedHandover &Planned :
-       distributeEvenly(this->map()->Map, Rest, Others)) {
-    this->startHandover(Planned, Now);
+  const KeyMap &Map = this->map()->Map;
+  std::vector<PlannedHandover> Planned =
+      this->Leaving ? distributeEvenly(Map, Rest, Others)
+                    : distributeBySpareCapacity(Map, Rest, Others, this->Loads,
+                                                this->Report.Slots, Now);
+  for (const PlannedHandover &Handover : Planned) {
+    this->startHandover(Handover, Now);
   }
 }
 
@@ -760,10 +816,12 @@
 }
 
 void KeyOwnershipManager::removeStaleHandovers(TimePoint Now) {
+  KeyPlacement Placement(this->View, this->service());
   this->Handovers.removeIf([&](const KeyHandover &Handover) {
     const InstanceRow *Row =
         this->View.findInstance(Handover.Receiver.Instance);
     bool Receives = Row && Row->State == ServerState::Ready &&
+                    Placement.mayOwn(*Row) &&
                     Row->Incarnation == Handover.Receiver.Incarnation;
     bool Moved = this->map() &&
                  this->map()->Map.find(Handover.Keys.First).Owner.Instance !=
@@ -781,8 +839,14 @@
 
 void KeyOwnershipManager::writeMap(MapWrite Kind, const KeyMap &Updated,
                                    TableTransaction Write) {
-  const MeshView::VersionedKeyMap *Known = this->map();
-  std::string Key = MeshView::keyMapKey(this->service());
+  this->writeMapOf(Kind, this->service(), Updated, std::move(Write));
+}
+
+void KeyOwnershipManager::writeMapOf(MapWrite Kind, const std::string &Service,
+                                     const KeyMap &Updated,
+                                     TableTransaction Write) {
+  const MeshView::VersionedKeyMap *Known = this->View.findKeyMap(Service);
+  std::string Key = MeshView::keyMapKey(Service);
 
   this->PendingWrite = Kind;
   this->NewOwners = newOwners(Known ? &Known->Map : nullptr, Updated);
@@ -793,6 +857,7 @@
 }
 
 bool KeyOwnershipManager::writeMapUnderLease(MapWrite Kind,
+                                             const std::string &Service,
                                              const KeyMap &Updated) {
   auto Version = this->Lease.version();
   if (!Version) {
@@ -805,7 +870,7 @@
   Write.Conditions.push_back({KeyLeaseRow::key(this->Instance), *Version});
   this->UncertainWriteLease = Version;
   this->UncertainServerLoss = Kind == MapWrite::ServerLost;
-  this->writeMap(Kind, Updated, std::move(Write));
+  this->writeMapOf(Kind, Service, Updated, std::move(Write));
   return true;
 }
 
@@ -881,6 +946,7 @@
     this->LeaseReadWanted = true;
     break;
   case MapWrite::ServerLost:
+  case MapWrite::FormerKeys:
   case MapWrite::None:
     break;
   }
--- a/mesh/KeyOwnershipManager.h
+++ b/mesh/KeyOwnershipManager.h
@@ -24,6 +24,7 @@
   ServerLost,
   TakenOver,
   WriteFailed,
+  FormerKeysGivenUp,
 };
 
 /// Event name of \p Event in the log.
@@ -196,6 +197,7 @@
     AdoptRun,
     Handover,
     ServerLost,
+    FormerKeys,
     Takeover
   };
 
@@ -223,6 +225,7 @@
   bool tryFinishHandovers(TimePoint Now);
   bool tryReassignLostServer(TimePoint Now);
   bool tryTakeover(TimePoint Now);
+  bool mayOwnKeys() const;
   void offerKeys(TimePoint Now);
   void startLeavingHandovers(TimePoint Now);
   void startHandover(const PlannedHandover &Planned, TimePoint Now);
@@ -237,10 +240,20 @@
   std::vector<KeyMapEntry> entriesNotInHandover() const;
   double loadOf(const std::vector<KeyMapEntry> &Entries, TimePoint Now) const;
   std::vector<OwnerCandidate> candidates(bool WithSelf, TimePoint Now) const;
+  std::vector<OwnerCandidate> candidatesOf(const std::string &Service,
+                                           bool WithSelf, TimePoint Now) const;
+
+  /// Gives the keys of other services, which an earlier backend server of this
+  /// instance owned, to live servers of those services: while this instance has
+  /// a lease no other one can take them. Returns whether a write was started.
+  bool tryGiveUpFormerKeys(TimePoint Now);
   std::vector<KeyRange> collectOrphanedKeys(const KeyMap &Map,
                                             TableTransaction &Write) const;
   void writeMap(MapWrite Kind, const KeyMap &Updated, TableTransaction Write);
-  bool writeMapUnderLease(MapWrite Kind, const KeyMap &Updated);
+  void writeMapOf(MapWrite Kind, const std::string &Service,
+                  const KeyMap &Updated, TableTransaction Write);
+  bool writeMapUnderLease(MapWrite Kind, const std::string &Service,
+                          const KeyMap &Updated);
 
   InstanceId Instance;
   Options Opts;
@@ -285,6 +298,11 @@
   std::size_t LastCandidateCount = 0;
   TimePoint CandidatesChangedAt;
 
+  /// From then on no earlier backend server of this instance can hold keys: the
+  /// grants given before this process or the present server started have
+  /// expired.
+  TimePoint FormerGrantsEndAt;
+
   /// Progress of confirming the candidates of the initial layout by reading the
   /// table of instances, then that of leases.
   enum class Confirmation { None, ReadingInstances, ReadingLeases, Done };
--- a/mesh/LocalServer.cpp
+++ b/mesh/LocalServer.cpp
@@ -1,6 +1,7 @@
 #include "mesh/LocalServer.h"
 
 #include "core/EnumNames.h"
+#include "mesh/placement/HomePolicy.h"
 
 namespace hemlockspar {
 
@@ -71,6 +72,7 @@
     return ReportVerdict::Older;
   }
 
+  this->ColdUntil = this->coldUntilAfter(Report, Now);
   if (Report.Incarnation != this->LastReport.Incarnation) {
     this->LeavingSince.reset();
   }
@@ -93,7 +95,27 @@
   return true;
 }
 
-void LocalServer::onConnectionRefused() { this->ConnectionRefused = true; }
+TimePoint LocalServer::coldUntilAfter(const ServerReport &Report,
+                                      TimePoint Now) const {
+  if (Report.ColdLeft) {
+    return *Report.ColdLeft > Duration::zero() ? Now + *Report.ColdLeft
+                                               : NeverCold;
+  }
+  bool Unknown = Report.Incarnation != this->LastReport.Incarnation ||
+                 this->ColdUntil == TimePoint::max();
+  const ConfigurationPtr &Active = this->View.configuration();
+  if (!Unknown || !Active) {
+    return this->ColdUntil;
+  }
+  auto Declared = Active->Services.find(Report.Service);
+  return Declared == Active->Services.end() ? NeverCold
+                                            : Now + Declared->second.ColdStart;
+}
+
+void LocalServer::onConnectionRefused() {
+  this->ConnectionRefused = true;
+  this->assumeCold();
+}
 
 ServerState LocalServer::state() const {
   // A departure stays on record after the server's process has ended, since
@@ -114,6 +136,11 @@
   return !this->LeavingSince || Now < *this->LeavingSince + Span;
 }
 
+bool LocalServer::isHomeOf(const std::string &RouteName) const {
+  const ConfigurationPtr &Active = this->View.configuration();
+  return !Active || isHomeRegion(*Active, RouteName, this->Config.Region);
+}
+
 const std::string &LocalServer::service() const {
   return this->HasReport ? this->LastReport.Service : this->Config.Service;
 }
--- a/mesh/LocalServer.h
+++ b/mesh/LocalServer.h
@@ -3,6 +3,7 @@
 #include "mesh/InstanceRow.h"
 #include "mesh/MeshSettings.h"
 #include "mesh/MeshView.h"
+#include "mesh/placement/ColdStartLimiter.h"
 
 namespace hemlockspar {
 
@@ -56,6 +57,22 @@
   /// Returns whether requests may be sent to it at \p Now.
   bool acceptsRequests(TimePoint Now) const;
 
+  /// Until when it is cold, as far as known; the end of time while only a later
+  /// report can tell.
+  TimePoint coldUntil() const { return this->ColdUntil; }
+
+  /// Evidence that it may have become cold unnoticed: it counts as cold until a
+  /// later report says otherwise.
+  void assumeCold() { this->ColdUntil = TimePoint::max(); }
+
+  /// Whether operators ask for the evacuation of its data centre.
+  bool isEvacuated() const {
+    return this->View.isEvacuated(this->Config.DataCenter);
+  }
+
+  /// Whether requests of the route \p RouteName may be served in its region.
+  bool isHomeOf(const std::string &RouteName) const;
+
   /// The service of the backend server or, before its first report, the
   /// configured one.
   const std::string &service() const;
@@ -66,12 +83,14 @@
 private:
   bool isForeign(const ServerReport &Report) const;
   bool isOlder(const ServerReport &Report) const;
+  TimePoint coldUntilAfter(const ServerReport &Report, TimePoint Now) const;
 
   const MeshSettings &Config;
   const MeshView &View;
   ServerReport LastReport;
   bool HasReport = false;
   bool ConnectionRefused = false;
+  TimePoint ColdUntil = NeverCold;
 
   bool Recovered = false;
 
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -187,7 +187,7 @@
       KeyManager(Config.Instance, chooseProcessNumber(),
                  {Config.HeartbeatInterval, Config.MaxHoldTime}, View, *Grants,
                  *this, BootClock::now()),
-      Dispatcher(Io, Server, KeyManager, *Adapters.Requests, Counters,
+      Dispatcher(Io, View, Server, KeyManager, *Adapters.Requests, Counters,
                  [this] { this->onServerRefusedConnection(); }),
       Router(Io, Config, View, Server, Dispatcher, *Adapters.Requests, *this,
              Counters),
@@ -309,6 +309,7 @@
 
 void MeshDaemon::onViewChanged() {
   this->applyConfiguration();
+  this->Dispatcher.onViewChanged();
   this->recoverServer();
   if (!this->GrantsByCall || this->GrantUpdatePosted) {
     return;
--- a/mesh/MeshView.h
+++ b/mesh/MeshView.h
@@ -71,6 +71,11 @@
   /// Null when the service's keys have never had owners.
   const VersionedKeyMap *findKeyMap(const std::string &Service) const;
 
+  /// The key maps of all services, by service.
+  const std::map<std::string, VersionedKeyMap> &keyMaps() const {
+    return this->KeyMaps;
+  }
+
   /// Version of the newest read of the whole table of key maps; 0 before the
   /// first.
   RowVersion keysReadVersion() const;
--- a/mesh/RequestHeaderCodec.h
+++ b/mesh/RequestHeaderCodec.h
@@ -49,6 +49,10 @@
   /// ID of the request that it responds to; empty when not stated.
   std::string RequestId;
 
+  /// How long work takes on the server's machine now, 1 being as usual; empty
+  /// when not stated.
+  std::optional<double> Pace;
+
   /// Whether the response is complete and plausibly from the backend server
   /// itself.
   bool Credible = false;
--- a/mesh/RequestRouter.cpp
+++ b/mesh/RequestRouter.cpp
@@ -3,6 +3,7 @@
 #include "core/Log.h"
 #include "daemon/RequestHeaders.h"
 #include "mesh/HopCodec.h"
+#include "mesh/placement/HomePolicy.h"
 #include "net/Event.h"
 
 #include <algorithm>
@@ -48,6 +49,10 @@
 /// callers do not all return at once.
 constexpr auto MinRetryAfter = std::chrono::milliseconds(150);
 
+/// Retry-After when no instance may serve a request: keys are handed over or an
+/// instance becomes ready in about this time.
+constexpr auto NoHomeRetryAfter = std::chrono::milliseconds(800);
+
 /// Approximate time for a terminated process to be restarted.
 constexpr auto RestartTime = std::chrono::milliseconds(600);
 
@@ -100,6 +105,9 @@
   bool MayHaveRun = false;
   InstanceId LastInstance;
 
+  /// The owner of the key, as known at the last attempt.
+  InstanceId KnownOwner;
+
   /// The shortest wait reported by any instance.
   std::optional<Duration> ShortestWait;
 };
@@ -225,6 +233,9 @@
     auto Instance = this->selectInstance(State, Now);
     if (Instance) {
       Result = this->attemptAt(*Instance, Request, State, Watch, Yield);
+    } else if (!this->hasHome(State)) {
+      Result = notRunResult(AttemptReason::NoHome, NoHomeRetryAfter);
+      break;
     } else if (State.Refusals == 0) {
       Result = notRunResult(AttemptReason::NoInstance);
     } else {
@@ -248,25 +259,60 @@
 
 std::optional<InstanceId> RequestRouter::selectInstance(RequestState &State,
                                                         TimePoint Now) {
+  auto MayUse = [&](const InstanceRow &Row) {
+    return this->mayUseRegion(State, Row.Region);
+  };
   if (!State.Keyed) {
     return this->Picker.pick(this->View, State.Context.Service,
-                             State.Context.RouteName, State.TriedInstances,
-                             Now);
+                             State.Context.RouteName, State.TriedInstances, Now,
+                             MayUse);
   }
 
   InstanceId Owner = this->ownerOf(State.Context.Service, *State.Context.Key);
+  State.KnownOwner = Owner;
   if (Owner.empty()) {
     this->Events.onOwnerStale(State.Context.Service);
 
     // Any owner of keys of the service knows the owner of this one.
     return this->Picker.pick(this->View, State.Context.Service,
-                             State.Context.RouteName, {}, Now);
+                             State.Context.RouteName, {}, Now, MayUse);
   }
-  bool Usable =
-      this->View.findInstance(Owner) && !this->Picker.isSuspect(Owner, Now);
+  const InstanceRow *Row = this->View.findInstance(Owner);
+  bool Usable = Row && MayUse(*Row) && !this->Picker.isSuspect(Owner, Now);
   return Usable ? std::optional(Owner) : std::nullopt;
 }
 
+bool RequestRouter::mayUseRegion(const RequestState &State,
+                                 const std::string &Region) const {
+  // A newer configuration may have taken homes away since the request arrived.
+  return isHomeRegion(*State.SelectedRoute, Region) &&
+         isHomeRegion(*this->View.configuration(), State.Context.RouteName,
+                      Region);
+}
+
+bool RequestRouter::hasHome(const RequestState &State) const {
+  const Route *Newest =
+      this->View.configuration()->findRouteByName(State.Context.RouteName);
+  bool Restricted = State.SelectedRoute->HomeRegions ||
+                    (Newest && Newest->HomeRegions) ||
+                    !this->View.evacuated().empty();
+  if (!Restricted) {
+    return true;
+  }
+  if (State.Keyed) {
+    const InstanceRow *Owner = this->View.findInstance(State.KnownOwner);
+    return !Owner || this->mayUseRegion(State, Owner->Region);
+  }
+  const std::map<InstanceId, InstanceRow> &All = this->View.instances();
+  return std::any_of(All.begin(), All.end(), [&](const auto &Entry) {
+    const InstanceRow &Row = Entry.second;
+    return Row.Service == State.Context.Service &&
+           Row.State == ServerState::Ready &&
+           !this->View.isEvacuated(Row.DataCenter) &&
+           this->mayUseRegion(State, Row.Region);
+  });
+}
+
 InstanceId RequestRouter::ownerOf(const std::string &Service, KeyNumber Key) {
   const MeshView::VersionedKeyMap *Owners = this->View.findKeyMap(Service);
   std::vector<OwnerHint> &Hints = this->OwnerHints[Service];
@@ -349,6 +395,9 @@
   if (State.Keyed && Result.Reason == AttemptReason::NotOwner) {
     this->storeOwnerHint(Result, State);
   }
+  if (Result.Reason == AttemptReason::Cold) {
+    this->Picker.onCold(Instance, Result.ExpectedWait, Now);
+  }
   bool Unavailable = Result.Reason == AttemptReason::ServerUnavailable ||
                      Result.Reason == AttemptReason::Leaving;
   if (Unavailable && !State.Keyed) {
@@ -483,6 +532,7 @@
 
   switch (Result.Reason) {
   case AttemptReason::Busy:
+  case AttemptReason::Cold:
     State.ShortestWait = std::min(
         State.ShortestWait.value_or(Result.ExpectedWait), Result.ExpectedWait);
     ++State.Refusals;
--- a/mesh/RequestRouter.h
+++ b/mesh/RequestRouter.h
@@ -80,6 +80,8 @@
                             CallerWatch &Watch,
                             const boost::asio::yield_context &Yield);
   std::optional<InstanceId> selectInstance(RequestState &State, TimePoint Now);
+  bool mayUseRegion(const RequestState &State, const std::string &Region) const;
+  bool hasHome(const RequestState &State) const;
   AttemptResult attemptAt(const InstanceId &Instance, HttpRequest &Request,
                           RequestState &State, CallerWatch &Watch,
                           const boost::asio::yield_context &Yield);
--- a/stand_ins/FakePlatformStore.cpp
+++ b/stand_ins/FakePlatformStore.cpp
@@ -69,6 +69,13 @@
   this->writeRow(Table, Key, Value, false);
 }
 
+void FakePlatformStore::remove(const std::string &Table,
+                               const std::string &Key) {
+  std::lock_guard Lock(this->Mutex);
+  ++this->Version;
+  this->writeRow(Table, Key, "", true);
+}
+
 std::optional<std::string> FakePlatformStore::find(const std::string &Table,
                                                    const std::string &Key) {
   std::lock_guard Lock(this->Mutex);
--- a/stand_ins/FakePlatformStore.h
+++ b/stand_ins/FakePlatformStore.h
@@ -45,6 +45,9 @@
   void put(const std::string &Table, const std::string &Key,
            const std::string &Value);
 
+  /// Removes a row, as an operator does.
+  void remove(const std::string &Table, const std::string &Key);
+
   /// The value of a row; nullopt if there is none.
   std::optional<std::string> find(const std::string &Table,
                                   const std::string &Key);
--- a/tests/mesh/InstancePickerTest.cpp
+++ b/tests/mesh/InstancePickerTest.cpp
@@ -4,6 +4,7 @@
 
 using namespace hemlockspar;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -158,3 +159,65 @@
   }
   cr_assert_lt(Slow, 10);
 }
+
+/// Instances in an evacuated data centre, or outside the homes of a route, must
+/// not be chosen even when they are the only ones left.
+Test(InstancePicker, ExcludesEvacuatedAndDisallowedInstances) {
+  PickerFixture Fixture;
+  Fixture.View.setEvacuated({"north-a"}, 5);
+  cr_assert_neq(Fixture.pick(), "near");
+  cr_assert_eq(Fixture.pick({"other", "far"}), "none");
+
+  auto InSouth = [](const InstanceRow &Row) { return Row.Region == "south"; };
+  auto Picked = Fixture.Picker.pick(Fixture.View, "bookings", "r-1", {},
+                                    Fixture.Now, InSouth);
+  cr_assert(Picked == InstanceId("far"));
+}
+
+/// A machine that is slow for a moment must be avoided for that moment only,
+/// and a server that is slow by itself for good: a picker that learned the one
+/// as the other would fail one of the two halves.
+Test(InstancePicker, TellsASlowMomentFromASlowServer) {
+  PickerFixture Fixture;
+  for (int Run = 0; Run < 40; ++Run) {
+    Fixture.Picker.recordRunTime("near", "r-1", milliseconds(200));
+    Fixture.Picker.recordRunTime("other", "r-1", milliseconds(200));
+  }
+  ServerLoad Slow = {0, 0, 6, 0.5, milliseconds(200)};
+  Slow.Pace = 3;
+  Fixture.Picker.onLoadReported("near", Slow, Fixture.Now);
+  cr_assert_eq(Fixture.pick({"far"}), "other");
+  Fixture.Now += milliseconds(301);
+  int Near = 0;
+  for (int Choice = 0; Choice < 50; ++Choice) {
+    Near += Fixture.pick({"far"}) == "near" ? 1 : 0;
+  }
+  cr_assert_gt(Near, 10, "the slow moment is over");
+
+  for (int Run = 0; Run < 40; ++Run) {
+    Fixture.Picker.recordRunTime("near", "r-1", milliseconds(400));
+    Fixture.Picker.recordRunTime("other", "r-1", milliseconds(200));
+  }
+  Fixture.Now += seconds(2);
+  cr_assert_eq(Fixture.pick({"far"}), "other");
+}
+
+/// Senders that were refused by a cold server must not all return to it at the
+/// same time.
+Test(InstancePicker, ReturnsToAColdServerAreSpread) {
+  TimePoint Earliest = TimePoint::max();
+  TimePoint Latest{};
+  for (std::uint64_t Sender = 1; Sender <= 20; ++Sender) {
+    PickerFixture Fixture;
+    Fixture.Picker = InstancePicker("north", "north-a", Sender);
+    TimePoint Start = Fixture.Now;
+    Fixture.Picker.onCold("near", milliseconds(300), Start);
+    while (Fixture.pick({"other", "far"}) == "none") {
+      Fixture.Now += milliseconds(10);
+    }
+    Earliest = std::min(Earliest, Fixture.Now);
+    Latest = std::max(Latest, Fixture.Now);
+    cr_assert_geq(Fixture.Now - Start, milliseconds(300));
+  }
+  cr_assert_gt(Latest - Earliest, milliseconds(300));
+}
--- a/tests/mesh/KeyOwnershipManagerTest.cpp
+++ b/tests/mesh/KeyOwnershipManagerTest.cpp
@@ -61,8 +61,10 @@
   }
 
   /// Adds \p Name, with an active lease.
-  void addInstance(const InstanceId &Name) {
+  void addInstance(const InstanceId &Name,
+                   const std::string &DataCenter = "north-a") {
     InstanceRow Row;
+    Row.DataCenter = DataCenter;
     Row.Instance = Name;
     Row.Service = "menus";
     Row.Slots = 6;
@@ -273,3 +275,70 @@
   cr_assert(stretchInterval(seconds(9), 540, seconds(30)) == seconds(30));
   cr_assert(stretchInterval(seconds(9), 540, seconds(5)) == seconds(9));
 }
+
+/// An owner in an evacuated data centre must hand its keys over, decline offers
+/// meanwhile, and accept keys again once the evacuation has ended.
+Test(KeyOwnershipManager, EvacuatedOwnerHandsItsKeysOver) {
+  ManagerFixture Fixture;
+  Fixture.addInstance("i1", "north-a");
+  Fixture.addInstance("i2", "north-b");
+  Fixture.acquireLease();
+  Fixture.answerLeases();
+  cr_assert(Fixture.Manager.onOffer(0.9, Fixture.Now).Accepted);
+
+  Fixture.View.setEvacuated({"north-a"}, 300);
+  cr_assert_not(Fixture.Manager.onOffer(0.9, Fixture.Now).Accepted);
+  Fixture.Report.Released = {{{0, 29999}, "state"}};
+  Fixture.report();
+  Fixture.report();
+  cr_assert_geq(Fixture.MapWrites.size(), 1);
+  auto Written = KeyMap::fromText(*Fixture.MapWrites[0].Writes[0].Value);
+  cr_assert(Written && Written->keyCount("i2") == MaxKey + 1);
+
+  Fixture.View.setEvacuated({}, 301);
+  Fixture.Manager.onMapCommit({{CommitOutcome::Committed, 9}, {}, seconds(100)},
+                              Fixture.Now);
+  Fixture.applyMap(*Written, 9, true);
+  cr_assert(Fixture.Manager.onOffer(0.9, Fixture.Now).Accepted);
+}
+
+/// When every data centre of a service is evacuated, owners must keep their
+/// keys: handing them round would move them without end.
+Test(KeyOwnershipManager, KeysStayWhenAllIsEvacuated) {
+  ManagerFixture Fixture;
+  Fixture.addInstance("i1", "north-a");
+  Fixture.addInstance("i2", "north-b");
+  Fixture.acquireLease();
+  Fixture.answerLeases();
+  Fixture.View.setEvacuated({"north-a", "north-b"}, 300);
+  Fixture.Report.Released = {{{0, 29999}, "state"}};
+  Fixture.report();
+  Fixture.report();
+  cr_assert_eq(Fixture.MapWrites.size(), 0);
+}
+
+/// When the address of a backend server goes to a server of another service,
+/// the keys of the former service must not stay with this instance for good,
+/// but must be kept until no earlier grant can be held any more.
+Test(KeyOwnershipManager, GivesUpKeysOfAFormerService) {
+  ManagerFixture Fixture;
+  Fixture.addInstance("i2", "north-b");
+  Fixture.acquireLease();
+  Fixture.answerLeases();
+
+  Fixture.Report.Service = "rosters";
+  Fixture.Report.Incarnation = {"s9", 9};
+  Fixture.report();
+  Fixture.Now += seconds(4);
+  Fixture.report();
+  cr_assert_eq(Fixture.MapWrites.size(), 0, "earlier grants may be held");
+
+  Fixture.Now += milliseconds(200);
+  Fixture.report();
+  cr_assert_eq(Fixture.MapWrites.size(), 1);
+  const TableTransaction &Write = Fixture.MapWrites[0];
+  cr_assert_eq(Write.Writes[0].Key, MeshView::keyMapKey("menus"));
+  auto Written = KeyMap::fromText(*Write.Writes[0].Value);
+  cr_assert(Written && Written->keyCount("i2") == MaxKey + 1);
+  cr_assert_eq(Write.Conditions.size(), 2, "bound to the lease and the map");
+}
--- a/tests/mesh/LocalServerTest.cpp
+++ b/tests/mesh/LocalServerTest.cpp
@@ -138,3 +138,29 @@
   Restarted.applyReport(Fixture.report("b", 200, 6), Fixture.Now);
   cr_assert(Restarted.state() == ServerState::Ready);
 }
+
+/// A server that may have become cold unnoticed must count as cold until a
+/// later report tells, and one that does not tell after a restart as well.
+Test(LocalServer, LearnsOfTheColdFromReportsAndEvidence) {
+  ServerFixture Fixture;
+  Configuration Active;
+  Active.Version = 1;
+  Active.Services["menus"].Name = "menus";
+  Active.Services["menus"].ColdStart = milliseconds(3000);
+  Fixture.View.activateConfiguration(
+      std::make_shared<const Configuration>(Active));
+
+  ServerReport Warm = Fixture.report("a", 1, 1);
+  Warm.ColdLeft = Duration::zero();
+  Fixture.Server.applyReport(Warm, Fixture.Now);
+  cr_assert_lt(Fixture.Server.coldUntil(), Fixture.Now);
+  Fixture.Server.onConnectionRefused();
+  cr_assert_gt(Fixture.Server.coldUntil(), Fixture.Now + milliseconds(60000));
+
+  ServerReport Cold = Fixture.report("b", 2, 1);
+  Cold.ColdLeft = milliseconds(700);
+  Fixture.Server.applyReport(Cold, Fixture.Now);
+  cr_assert_eq(Fixture.Server.coldUntil(), Fixture.Now + milliseconds(700));
+  Fixture.Server.applyReport(Fixture.report("c", 3, 1), Fixture.Now);
+  cr_assert_eq(Fixture.Server.coldUntil(), Fixture.Now + milliseconds(3000));
+}
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -30,13 +30,14 @@
 constexpr auto PollInterval = std::chrono::milliseconds(20);
 
 std::string routeText(const std::string &Name, const std::string &Service,
-                      const std::string &Kind) {
+                      const std::string &Kind, const std::string &Homes) {
   return absl::StrCat(
       R"({"resource_kind":"routes","metadata":{"name":"r-)", Name,
       R"("},"spec":{"hostname":"spa.example","prefix":"/)", Name,
       R"(/","route_kind":")", Kind,
       R"(","timeout":"8000ms","target_latency":"800ms","priority":1,)",
-      R"("service":")", Service, R"(","max_attempts":3}})");
+      R"("service":")", Service, R"(","max_attempts":3,"home_regions":[)",
+      Homes, "]}}");
 }
 
 std::string serviceText(const std::string &Name, bool Keyed) {
@@ -138,11 +139,15 @@
 }
 
 void PlatformMesh::declare(std::uint64_t Version, const std::string &Extra) {
-  std::string Routes = routeText("menus", "menus", "idempotent") + "," +
-                       routeText("bookings", "bookings", "non_idempotent") +
-                       "," + routeText("lists", "bookings", "idempotent");
+  auto Declare = [this](const std::string &Name, const std::string &Service,
+                        const std::string &Kind) {
+    return routeText(Name, Service, Kind, this->HomesOfRoute[Name]);
+  };
+  std::string Routes = Declare("menus", "menus", "idempotent") + "," +
+                       Declare("bookings", "bookings", "non_idempotent") + "," +
+                       Declare("lists", "bookings", "idempotent");
   if (!Extra.empty()) {
-    Routes += "," + routeText(Extra, "bookings", "idempotent");
+    Routes += "," + Declare(Extra, "bookings", "idempotent");
   }
   this->StandInStore->put(
       "op", "config",
--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -42,6 +42,12 @@
   /// and "/\p Extra/" to bookings.
   void declare(std::uint64_t Version, const std::string &Extra = "");
 
+  /// Restricts the route \p Route to \p Region in configurations declared from
+  /// now on.
+  void setHome(const std::string &Route, const std::string &Region) {
+    this->HomesOfRoute[Route] = "\"" + Region + "\"";
+  }
+
   void startDaemon(int Index);
 
   /// Whether the most recently started process has logged that it is running.
@@ -126,6 +132,9 @@
   std::thread IoThread;
   OwnershipChecker *Ledger = nullptr;
   bool GrantsByCall = false;
+
+  /// Home regions of routes, as the elements of a JSON list.
+  std::map<std::string, std::string> HomesOfRoute;
   std::map<int, pid_t> Daemons;
 
   /// Number of starts of each daemon.
--- a/tests/platform/HttpHeaderCodecTest.cpp
+++ b/tests/platform/HttpHeaderCodecTest.cpp
@@ -57,3 +57,16 @@
   cr_assert(headerValue(Response, "Retry-After") == "0.275");
   cr_assert(headerValue(Response, "Request-Id") == "q1");
 }
+
+/// The pace of the machine is optional and may be anything.
+Test(HttpHeaderCodec, ReadsThePaceOfTheMachine) {
+  auto PaceOf = [](const char *Load) {
+    HttpResponse Response(http::status::ok, 11);
+    Response.set("Server-Load", Load);
+    return HttpHeaderCodec().readAnswer(Response).Pace;
+  };
+  cr_assert(PaceOf("3,0,8,250") == 2.5);
+  for (const char *Odd : {"3,0,8", "", "3,0,8,", "3,0,8,x", "3,0,8,inf", ",,,nan"}) {
+    cr_assert(!PaceOf(Odd), "%s", Odd);
+  }
+}
