--- a/tests/mesh/KeyOwnershipManagerTest.cpp
+++ b/tests/mesh/KeyOwnershipManagerTest.cpp
@@ -322,6 +322,7 @@
 /// but must be kept until no earlier grant can be held any more.
 Test(KeyOwnershipManager, GivesUpKeysOfAFormerService) {
   ManagerFixture Fixture;
+  Fixture.addInstance("i1");
   Fixture.addInstance("i2", "north-b");
   Fixture.acquireLease();
   Fixture.answerLeases();
