net: read ahead on callers' connections

HttpServer read one request at a time, so that pipelined requests lost part of their time unread and a disconnect went unnoticed while bytes were unread.

PipelineQueue decides and performs no I/O; PipelinedConnection does the I/O. readRequest reads one request for both kinds of connections. Only the server for callers of the mesh daemon reads ahead.

--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -197,7 +197,8 @@
                    [this](HttpRequest &Request, CallerWatch &Watch,
                           const asio::yield_context &Yield) {
                      return this->Router.serveCaller(Request, Watch, Yield);
-                   }),
+                   },
+                   PipelineLimits()),
       PeerServer(Io, limitsOf(Config),
                  [this](HttpRequest &Request, CallerWatch &Watch,
                         const asio::yield_context &Yield) {
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -2,10 +2,8 @@
 
 #include "core/Log.h"
 #include "net/Peek.h"
+#include "net/ReadRequest.h"
 
-#include <boost/beast/core/string.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace hemlockspar {
@@ -16,49 +14,11 @@
 namespace {
 
 constexpr std::size_t ReadChunkBytes = 4096;
-constexpr std::size_t MaxUnparsedBytes = 256 << 10;
 
 /// How long a draining server waits for the first request of a new connection:
 /// about one round trip between regions plus scheduling delay.
 constexpr auto FirstRequestTimeout = std::chrono::milliseconds(250);
 
-/// Response to a request that could not be read; std::nullopt when the
-/// connection just ended.
-std::optional<HttpResponse> errorResponseFor(const error_code &Error) {
-  if (Error == http::error::header_limit) {
-    return problemResponse(http::status::request_header_fields_too_large,
-                           "header too large",
-                           "the header exceeds the size limit");
-  }
-  if (Error == http::error::body_limit) {
-    return problemResponse(http::status::payload_too_large, "body too large",
-                           "the body exceeds the size limit");
-  }
-  if (Error == boost::beast::error::timeout) {
-    return problemResponse(http::status::request_timeout, "request timeout",
-                           "the request was not received in time");
-  }
-
-  bool ConnectionEnded = Error == http::error::end_of_stream ||
-                         Error == http::error::partial_message ||
-                         Error == asio::error::operation_aborted ||
-                         Error == asio::error::connection_reset;
-  if (ConnectionEnded) {
-    return std::nullopt;
-  }
-  return problemResponse(http::status::bad_request, "bad request",
-                         Error.message());
-}
-
-/// Whether the end of the request's body is known: it has a length, or chunked
-/// is its only transfer coding.
-bool hasReadableBody(const HttpRequest &Request) {
-  constexpr auto Field = http::field::transfer_encoding;
-  std::size_t Count = Request.count(Field);
-  return Count == 0 ||
-         (Count == 1 && boost::beast::iequals(Request[Field], "chunked"));
-}
-
 } // namespace
 
 struct HttpServer::Connection {
@@ -66,8 +26,6 @@
       : Stream(std::move(Socket)) {}
 
   TcpStream Stream;
-
-  /// The limit also bounds what precedes a part of a chunked body.
   boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
   bool Busy = false;
 
@@ -78,12 +36,17 @@
 };
 
 HttpServer::HttpServer(asio::io_context &Io, HttpLimits Limits,
-                       Handler OnRequest)
-    : Limits(Limits), OnRequest(std::move(OnRequest)),
+                       Handler OnRequest,
+                       std::optional<PipelineLimits> ReadAhead)
+    : Limits(Limits), ReadAhead(ReadAhead), OnRequest(std::move(OnRequest)),
       ConnectionAcceptor(Io, Limits.MaxConnections,
                          [this](asio::ip::tcp::socket Socket,
                                 const asio::yield_context &Yield) {
-                           this->serve(std::move(Socket), Yield);
+                           if (this->ReadAhead) {
+                             this->servePipelined(std::move(Socket), Yield);
+                           } else {
+                             this->serve(std::move(Socket), Yield);
+                           }
                          }),
       FirstRequestTimer(Io) {}
 
@@ -100,12 +63,25 @@
   Conn.Stream.socket().shutdown(asio::socket_base::shutdown_send, Ignored);
 }
 
+void HttpServer::servePipelined(asio::ip::tcp::socket Socket,
+                                const asio::yield_context &Yield) {
+  Host &Self = *this;
+  auto Conn = std::make_shared<PipelinedConnection>(Self, *this->ReadAhead,
+                                                    std::move(Socket));
+  this->PipelinedConnections.insert(Conn.get());
+  Conn->serve(Yield);
+  this->PipelinedConnections.erase(Conn.get());
+}
+
+std::chrono::milliseconds HttpServer::idleTimeout() const {
+  return this->Draining ? FirstRequestTimeout : this->Limits.IdleTimeout;
+}
+
 bool HttpServer::serveOne(Connection &Conn, const asio::yield_context &Yield) {
   error_code Error;
 
   if (Conn.Buffer.size() == 0) {
-    Conn.Stream.expires_after(this->Draining ? FirstRequestTimeout
-                                             : this->Limits.IdleTimeout);
+    Conn.Stream.expires_after(this->idleTimeout());
     std::size_t Count = Conn.Stream.async_read_some(
         Conn.Buffer.prepare(ReadChunkBytes), Yield[Error]);
     if (Error) {
@@ -115,31 +91,21 @@
   }
 
   Conn.Busy = true;
-  http::request_parser<http::string_body> Parser;
-  Parser.header_limit(this->Limits.MaxHeaderBytes);
-  Parser.body_limit(this->Limits.MaxBodyBytes);
-
   Conn.Stream.expires_after(this->Limits.ReadTimeout);
-  http::async_read(Conn.Stream, Conn.Buffer, Parser, Yield[Error]);
-
-  // The body of another coding could not be told from the next request.
-  if (!Error && !hasReadableBody(Parser.get())) {
-    Error = http::error::bad_transfer_encoding;
-  }
-
-  if (Error) {
-    auto Response = errorResponseFor(Error);
+  ReadResult Result =
+      readRequest(Conn.Buffer, this->Limits,
+                  [&](asio::mutable_buffer Space, error_code &ReadError) {
+                    return Conn.Stream.async_read_some(Space, Yield[ReadError]);
+                  });
+  if (Result.Error) {
+    auto Response = errorResponseFor(Result.Error);
     if (Response) {
-      Response->set("Hemlockspar-Outcome", "not-run");
-      Response->keep_alive(false);
-      LogLine(LogLevel::Info, "net", "bad_request")
-          .with("error", Error.message());
       this->send(Conn, *Response, Yield);
     }
     return false;
   }
 
-  HttpRequest Request = Parser.release();
+  HttpRequest &Request = Result.Request;
   bool KeepAlive = Request.keep_alive();
   ++this->ActiveRequests;
   HttpResponse Response = this->handle(Conn, Request, Yield);
@@ -182,22 +148,8 @@
                       });
   }
 
-  HttpResponse Response;
-  bool Failed = false;
-  try {
-    Response = this->OnRequest(Request, *Watch, Yield);
-  } catch (const std::exception &Exception) {
-    // One request must not end the process and all others with it. A coroutine
-    // that is being unwound does not throw std::exception.
-    LogLine(LogLevel::Error, "net", "handler_failed")
-        .with("error", Exception.what());
-    Failed = true;
-  }
-  if (Failed) {
-    Conn.HandlerFailed = true;
-    Response = problemResponse(http::status::internal_server_error,
-                               "internal error", "the request failed");
-  }
+  HttpResponse Response =
+      this->runHandler(Request, *Watch, Yield, Conn.HandlerFailed);
 
   if (Watching) {
     error_code Ignored;
@@ -208,6 +160,22 @@
   return Response;
 }
 
+HttpResponse HttpServer::runHandler(HttpRequest &Request, CallerWatch &Watch,
+                                    const asio::yield_context &Yield,
+                                    bool &Failed) {
+  try {
+    return this->OnRequest(Request, Watch, Yield);
+  } catch (const std::exception &Exception) {
+    // One request must not end the process and all others with it. A coroutine
+    // that is being unwound does not throw std::exception.
+    LogLine(LogLevel::Error, "net", "handler_failed")
+        .with("error", Exception.what());
+    Failed = true;
+  }
+  return problemResponse(http::status::internal_server_error, "internal error",
+                         "the request failed");
+}
+
 bool HttpServer::send(Connection &Conn, HttpResponse &Response,
                       const asio::yield_context &Yield) {
   error_code Error;
@@ -244,6 +212,13 @@
       Conn->Stream.cancel();
     }
   }
+
+  for (PipelinedConnection *Conn : this->PipelinedConnections) {
+    bool Idle = Conn->isIdle() && (IncludeUnused || Conn->isUsed());
+    if (Idle && peek(Conn->socket()) != ConnectionState::Readable) {
+      Conn->cancel();
+    }
+  }
 }
 
 } // namespace hemlockspar
--- a/net/HttpServer.h
+++ b/net/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "net/Acceptor.h"
 #include "net/Http.h"
+#include "net/PipelinedConnection.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -11,9 +12,9 @@
 namespace hemlockspar {
 
 /// Serves HTTP/1.1 with keep-alive on one address. Each connection runs in its
-/// own stackful coroutine, one request at a time. A malformed request gets an
-/// error response and its connection is closed.
-class HttpServer {
+/// own stackful coroutine, one request at a time unless the server reads ahead.
+/// A malformed request gets an error response and its connection is closed.
+class HttpServer : private PipelinedConnection::Host {
 public:
   /// Handles one request. Runs in the coroutine of the connection and may
   /// suspend it.
@@ -21,7 +22,11 @@
       std::function<HttpResponse(HttpRequest &Request, CallerWatch &Watch,
                                  const boost::asio::yield_context &Yield)>;
 
-  HttpServer(boost::asio::io_context &Io, HttpLimits Limits, Handler OnRequest);
+  /// With \p ReadAhead, requests are read before those ahead of them are
+  /// answered, and requests that are safe to abandon run side by side. Each of
+  /// them then runs in a coroutine of its own.
+  HttpServer(boost::asio::io_context &Io, HttpLimits Limits, Handler OnRequest,
+             std::optional<PipelineLimits> ReadAhead = std::nullopt);
 
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
@@ -52,7 +57,9 @@
   void drain();
 
   /// Number of open connections.
-  std::size_t connectionCount() const { return this->Connections.size(); }
+  std::size_t connectionCount() const {
+    return this->Connections.size() + this->PipelinedConnections.size();
+  }
 
 private:
   using TcpStream = boost::beast::tcp_stream;
@@ -60,6 +67,8 @@
 
   void serve(boost::asio::ip::tcp::socket Socket,
              const boost::asio::yield_context &Yield);
+  void servePipelined(boost::asio::ip::tcp::socket Socket,
+                      const boost::asio::yield_context &Yield);
   bool serveOne(Connection &Conn, const boost::asio::yield_context &Yield);
   HttpResponse handle(Connection &Conn, HttpRequest &Request,
                       const boost::asio::yield_context &Yield);
@@ -67,7 +76,18 @@
   bool send(Connection &Conn, HttpResponse &Response,
             const boost::asio::yield_context &Yield);
 
+  // PipelinedConnection::Host
+  const HttpLimits &limits() const override { return this->Limits; }
+  bool keepsAlive() const override { return this->KeepAlive; }
+  std::chrono::milliseconds idleTimeout() const override;
+  HttpResponse runHandler(HttpRequest &Request, CallerWatch &Watch,
+                          const boost::asio::yield_context &Yield,
+                          bool &Failed) override;
+  void onRequestRead() override { ++this->ActiveRequests; }
+  void onRequestEnded() override { --this->ActiveRequests; }
+
   HttpLimits Limits;
+  std::optional<PipelineLimits> ReadAhead;
   Handler OnRequest;
   Acceptor ConnectionAcceptor;
   boost::asio::steady_timer FirstRequestTimer;
@@ -75,6 +95,7 @@
   bool Draining = false;
   std::size_t ActiveRequests = 0;
   std::set<Connection *> Connections;
+  std::set<PipelinedConnection *> PipelinedConnections;
 };
 
 } // namespace hemlockspar
--- a/net/Peek.cpp
+++ b/net/Peek.cpp
@@ -1,5 +1,7 @@
 #include "net/Peek.h"
 
+#include <poll.h>
+
 namespace hemlockspar {
 
 namespace asio = boost::asio;
@@ -17,4 +19,12 @@
   return Error ? ConnectionState::Closed : ConnectionState::Readable;
 }
 
+bool isClosedByPeer(asio::ip::tcp::socket &Socket) {
+  if (!Socket.is_open()) {
+    return true;
+  }
+  pollfd Poll{Socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&Poll, 1, 0) == 1;
+}
+
 } // namespace hemlockspar
