mesh: admit and pace large responses to other daemons

Requests were admitted by slots alone. With responses of 90 KB the links are full while slots are free, so responses queued in the network and every small response waited behind all of them.

The backlog travels in the hop result, and InstancePicker adds it for routes with large responses. Without link_mbps nothing changes.

--- a/mesh/InstancePicker.cpp
+++ b/mesh/InstancePicker.cpp
@@ -19,6 +19,14 @@
 /// when this saves at least this much waiting time, in seconds.
 constexpr double OtherRegionSurchargeSeconds = 0.15;
 
+/// What a large response costs on its way, by its size: it leaves the region or
+/// the data centre only when this saves at least as much waiting time, in
+/// seconds. For 90 KB these are 0.18 s and 0.018 s, bounded so that a wait of
+/// the usual length of an objective still outweighs them.
+constexpr double OtherRegionSecondsPerByte = 2e-6;
+constexpr double OtherDataCenterSecondsPerByte = 2e-7;
+constexpr double MaxSizeSurchargeSeconds = 0.4;
+
 /// Time constant for the decay of a reported load, in seconds: about the length
 /// of a request.
 constexpr double LoadDecaySeconds = 0.4;
@@ -69,7 +77,7 @@
 InstancePicker::pick(const MeshView &View, const std::string &Service,
                      const std::string &RouteName,
                      const std::set<InstanceId> &Tried, TimePoint Now,
-                     const Filter &MayUse) {
+                     const Filter &MayUse, double LargeResponseBytes) {
   const InstanceRow *Best = nullptr;
   double BestCost = 0;
   auto FoundRoute = this->MeanRouteSeconds.find(RouteName);
@@ -87,6 +95,9 @@
       continue;
     }
     double Cost = this->expectedCost(Row, RouteMean, Now);
+    if (LargeResponseBytes > 0) {
+      Cost += this->linkCost(Row, LargeResponseBytes, Now);
+    }
     if (!Best || Cost < BestCost) {
       Best = &Row;
       BestCost = Cost;
@@ -171,6 +182,23 @@
   return (RoundTrip + Wait + Run + Slowdown) * Jitter(this->Random);
 }
 
+double InstancePicker::linkCost(const InstanceRow &Row, double ResponseBytes,
+                                TimePoint Now) const {
+  bool InOwnDataCenter = Row.DataCenter == this->DataCenter;
+  double PerByte = Row.Region != this->Region ? OtherRegionSecondsPerByte
+                   : InOwnDataCenter          ? 0
+                                              : OtherDataCenterSecondsPerByte;
+  double Surcharge = std::min(PerByte * ResponseBytes, MaxSizeSurchargeSeconds);
+  auto Found = this->Stats.find(Row.Instance);
+  if (Found == this->Stats.end()) {
+    return Surcharge;
+  }
+  const InstanceStats &Entry = Found->second;
+  double Decay = std::exp(-std::max(seconds(Now - Entry.LoadReceivedAt), 0.0) /
+                          LoadDecaySeconds);
+  return Surcharge + seconds(Entry.Load.LinkBacklog) * Decay;
+}
+
 void InstancePicker::onRequestSent(const InstanceId &Instance) {
   ++this->Stats[Instance].InFlight;
 }
--- a/mesh/InstancePicker.h
+++ b/mesh/InstancePicker.h
@@ -27,12 +27,12 @@
 
   /// Selects an instance for a request of \p Service on the route \p RouteName
   /// that \p MayUse allows, excluding those in \p Tried and in evacuated data
-  /// centres. Empty when no instance is eligible.
-  std::optional<InstanceId> pick(const MeshView &View,
-                                 const std::string &Service,
-                                 const std::string &RouteName,
-                                 const std::set<InstanceId> &Tried,
-                                 TimePoint Now, const Filter &MayUse = {});
+  /// centres. Empty when no instance is eligible. \p LargeResponseBytes is the
+  /// expected size of the response when that is large for a link, 0 otherwise.
+  std::optional<InstanceId>
+  pick(const MeshView &View, const std::string &Service,
+       const std::string &RouteName, const std::set<InstanceId> &Tried,
+       TimePoint Now, const Filter &MayUse = {}, double LargeResponseBytes = 0);
 
   void onRequestSent(const InstanceId &Instance);
   void onRequestEnded(const InstanceId &Instance);
@@ -81,6 +81,8 @@
   bool isTooCold(const MeshView &View, const InstanceRow &Row, TimePoint Now);
   double expectedCost(const InstanceRow &Row, double RouteSeconds,
                       TimePoint Now);
+  double linkCost(const InstanceRow &Row, double ResponseBytes,
+                  TimePoint Now) const;
 
   std::string Region;
   std::string DataCenter;
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -417,6 +417,7 @@
 HttpResponse MeshDaemon::serveMetrics() {
   const ConfigurationPtr &Active = this->View.configuration();
   this->Counters.setLoad(this->Dispatcher.load());
+  this->Counters.setLinkBacklog(this->Router.linkBacklog());
   this->Counters.setConfiguration(Active ? Active->Version : 0);
   this->Counters.setInstances(this->View.instances().size());
 
--- a/mesh/MeshMetrics.cpp
+++ b/mesh/MeshMetrics.cpp
@@ -53,7 +53,19 @@
                     "requests waiting for a slot")),
       Configuration(gauge(*Registry, "hemlockspar_configuration_version",
                           "version of the active configuration")),
-      Instances(gauge(*Registry, "hemlockspar_instances", "known instances")) {}
+      Instances(gauge(*Registry, "hemlockspar_instances", "known instances")),
+      LinkBacklog(gauge(*Registry, "hemlockspar_link_backlog_seconds",
+                        "time that waiting and expected large responses take "
+                        "to leave")),
+      LinkRefusals(prometheus::BuildCounter()
+                       .Name("hemlockspar_link_refused_total")
+                       .Help("requests whose response the link could not carry "
+                             "in time")
+                       .Register(*Registry)
+                       .Add({})),
+      LinkWaitSeconds(histogram(*Registry, "hemlockspar_link_wait_seconds",
+                                "time for which a large response waited for "
+                                "the link")) {}
 
 void MeshMetrics::onRequest(RequestOutcome Outcome, AttemptReason Reason,
                             Duration Elapsed) {
@@ -71,6 +83,16 @@
   this->StoreCalls.Add({{"kind", Kind}, {"table", Table}}).Increment();
 }
 
+void MeshMetrics::onLinkRefusal() { this->LinkRefusals.Increment(); }
+
+void MeshMetrics::recordLinkWait(Duration Elapsed) {
+  this->LinkWaitSeconds.Observe(seconds(Elapsed));
+}
+
+void MeshMetrics::setLinkBacklog(Duration Backlog) {
+  this->LinkBacklog.Set(seconds(Backlog));
+}
+
 void MeshMetrics::setLoad(const ServerLoad &Load) {
   this->Running.Set(Load.Running);
   this->Waiting.Set(Load.Waiting);
--- a/mesh/MeshMetrics.h
+++ b/mesh/MeshMetrics.h
@@ -4,6 +4,7 @@
 #include "mesh/Attempt.h"
 
 #include <memory>
+#include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -28,6 +29,17 @@
   /// Records a call of \p Kind on \p Table of the store.
   void onStoreCall(const std::string &Kind, const std::string &Table);
 
+  /// Records that a request was refused since the link could not carry its
+  /// response in time.
+  void onLinkRefusal();
+
+  /// Records that a large response waited for the link for \p Elapsed.
+  void recordLinkWait(Duration Elapsed);
+
+  /// \p Backlog is how long the responses that wait for the link or are
+  /// expected will take.
+  void setLinkBacklog(Duration Backlog);
+
   void setLoad(const ServerLoad &Load);
   void setConfiguration(std::uint64_t Version);
   void setInstances(std::size_t Count);
@@ -45,6 +57,9 @@
   prometheus::Gauge &Waiting;
   prometheus::Gauge &Configuration;
   prometheus::Gauge &Instances;
+  prometheus::Gauge &LinkBacklog;
+  prometheus::Counter &LinkRefusals;
+  prometheus::Histogram &LinkWaitSeconds;
 };
 
 } // namespace hemlockspar
--- a/mesh/RequestRouter.cpp
+++ b/mesh/RequestRouter.cpp
@@ -122,6 +122,7 @@
       Counters(Counters), PeerClient(Io, peerLimits(Config)),
       Picker(Config.Region, Config.DataCenter, seedOf(Config.Instance)),
       Budget(retryLimitsOf(Config)), Link(Config.LinkMbps * BytesPerMbit),
+      Gate(Io, Config.LinkMbps * BytesPerMbit, Responses, Counters),
       Random(seedOf(Config.Instance + "/targets")) {}
 
 HttpResponse RequestRouter::errorAnswer(http::status Status,
@@ -265,7 +266,8 @@
   if (!State.Keyed) {
     return this->Picker.pick(this->View, State.Context.Service,
                              State.Context.RouteName, State.TriedInstances, Now,
-                             MayUse);
+                             MayUse,
+                             this->responseBytes(State.Context.RouteName));
   }
 
   InstanceId Owner = this->ownerOf(State.Context.Service, *State.Context.Key);
@@ -381,6 +383,8 @@
     this->Events.onPeerLoad(Instance, Result.Load->OfferedLoad);
   }
   if (Result.Outcome == RequestOutcome::Answered) {
+    this->Responses.record(State.Context.RouteName,
+                           Result.Response.body().size(), Result.RunTime);
     this->Picker.recordRunTime(Instance, State.Context.RouteName,
                                Result.RunTime);
   }
@@ -629,7 +633,7 @@
   bool Reject = this->RejectingAll || (this->Draining && !Context->Key);
   AttemptResult Result =
       Reject ? notRunResult(AttemptReason::Leaving)
-             : this->LocalDispatcher.serve(Request, *Context, Watch, Yield);
+             : this->serveWithinLink(Request, *Context, Watch, Yield);
   LogLine(LogLevel::Info, "gate", "peer_request")
       .with("request", Context->RequestId)
       .with("service", Context->Service)
@@ -646,6 +650,35 @@
   return hop::writeResult(std::move(Result));
 }
 
+AttemptResult RequestRouter::serveWithinLink(HttpRequest &Request,
+                                             const AttemptContext &Context,
+                                             CallerWatch &Watch,
+                                             const asio::yield_context &Yield) {
+  ResponseAdmission::Reservation Place;
+  auto Refusal = this->Gate.admit(Context, Place);
+  AttemptResult Result =
+      Refusal ? std::move(*Refusal)
+              : this->LocalDispatcher.serve(Request, Context, Watch, Yield);
+  Place.reset();
+  if (Refusal) {
+    Result.Load = this->LocalDispatcher.load();
+  }
+  if (Result.Outcome == RequestOutcome::Answered) {
+    std::uint64_t Bytes = Result.Response.body().size();
+    this->Responses.record(Context.RouteName, Bytes, Result.RunTime);
+    this->Gate.waitForTurn(Context, Bytes, Watch, Yield);
+  }
+  if (Result.Load) {
+    Result.Load->LinkBacklog = this->Gate.backlog();
+  }
+  return Result;
+}
+
+double RequestRouter::responseBytes(const std::string &RouteName) const {
+  ResponseEstimate Expected = this->Responses.estimate(RouteName);
+  return this->Config.LinkMbps > 0 && Expected.Large ? Expected.Bytes : 0;
+}
+
 void RequestRouter::addOwnerHint(AttemptResult &Result,
                                  const AttemptContext &Context) const {
   const MeshView::VersionedKeyMap *Owners =
--- a/mesh/RequestRouter.h
+++ b/mesh/RequestRouter.h
@@ -2,9 +2,9 @@
 
 #include "mesh/BackendDispatcher.h"
 #include "mesh/InstancePicker.h"
-#include "mesh/LinkBudget.h"
 #include "mesh/MeshMetrics.h"
 #include "mesh/RetryBudget.h"
+#include "mesh/links/ResponseGate.h"
 
 namespace hemlockspar {
 
@@ -56,13 +56,22 @@
   void startDraining(TimePoint AnswersUntil) {
     this->Draining = true;
     this->LastAnswerAt = AnswersUntil;
+    this->Gate.openAt(AnswersUntil - LastResponsesTime);
   }
 
   /// Rejects all new requests, so that the requests in flight can complete in
   /// time.
   void rejectNewRequests() { this->RejectingAll = true; }
 
+  /// How long the large responses that wait for the link or are expected will
+  /// take.
+  Duration linkBacklog() const { return this->Gate.backlog(); }
+
 private:
+  /// Before a shutdown ends, large responses are held back no longer for this
+  /// time, in which the link carries those of all slots.
+  static constexpr auto LastResponsesTime = std::chrono::seconds(1);
+
   struct RequestState;
 
   /// A redirect from a previous owner: the current owner of a key range. Valid
@@ -90,6 +99,11 @@
                    const AttemptContext &Context, CallerWatch &Watch,
                    const boost::asio::yield_context &Yield);
   AttemptResult admitBody(std::uint64_t Bytes, const AttemptContext &Context);
+  AttemptResult serveWithinLink(HttpRequest &Request,
+                                const AttemptContext &Context,
+                                CallerWatch &Watch,
+                                const boost::asio::yield_context &Yield);
+  double responseBytes(const std::string &RouteName) const;
   AttemptResult forwardTo(const InstanceRow &Row, HttpRequest &Request,
                           const AttemptContext &Context, CallerWatch &Watch,
                           const boost::asio::yield_context &Yield);
@@ -122,7 +136,11 @@
   HttpClient PeerClient;
   InstancePicker Picker;
   RetryBudget Budget;
+
+  /// Large request bodies from other daemons.
   LinkBudget Link;
+  RouteResponses Responses;
+  ResponseGate Gate;
   std::mt19937_64 Random;
   std::map<std::string, std::vector<OwnerHint>> OwnerHints;
   bool Draining = false;
--- a/mesh/LinkBudget.cpp
+++ b/mesh/links/LinkBudget.cpp
@@ -1,4 +1,4 @@
-#include "mesh/LinkBudget.h"
+#include "mesh/links/LinkBudget.h"
 
 #include <algorithm>
 
--- a/mesh/LinkBudget.h
+++ b/mesh/links/LinkBudget.h
@@ -6,11 +6,11 @@
 
 namespace hemlockspar {
 
-/// Admits large request bodies to this machine's link. Answers the load pattern
-/// of uploads that arrive faster than the link carries them: without a limit
-/// they queue in the network, and every small request to this machine waits
-/// behind them until it is useless. Only a share of the link is given to large
-/// bodies. Free of I/O.
+/// Admits large bodies to one direction of this machine's link. Answers the
+/// load pattern of uploads that arrive faster than the link carries them:
+/// without a limit they queue in the network, and every small request to this
+/// machine waits behind them until it is useless. Only a share of the link is
+/// given to large bodies. Free of I/O.
 class LinkBudget {
 public:
   /// \p BytesPerSecond is the rate of the link; 0 means that it is not limited.
@@ -33,7 +33,8 @@
   TimePoint BusyUntil;
 };
 
-/// Bodies larger than this are admitted one by one before they are sent.
+/// Bodies of requests and responses that are larger than this leave for other
+/// daemons one by one.
 inline constexpr std::uint64_t LargeBodyBytes = 16 << 10;
 
 } // namespace hemlockspar
--- a/tests/mesh/InstancePickerTest.cpp
+++ b/tests/mesh/InstancePickerTest.cpp
@@ -99,6 +99,62 @@
   cr_assert(Fixture.pick() != "none");
 }
 
+/// Links of one data centre with a backlog of large responses: requests for
+/// more of them must go to the other data centre and, when its links are no
+/// better, leave the region only for more than that costs. Requests with small
+/// responses must not move at all.
+Test(InstancePicker, LinkBacklogMovesLargeResponses) {
+  PickerFixture Fixture;
+  constexpr double Bytes = 90000;
+  auto PickLarge = [&] {
+    return Fixture.Picker
+        .pick(Fixture.View, "bookings", "r-1", {}, Fixture.Now, {}, Bytes)
+        .value_or("none");
+  };
+  auto SetBacklog = [&](const char *Name, milliseconds Backlog) {
+    ServerLoad Load = {0, 0, 6, 1.0, milliseconds(250)};
+    Load.LinkBacklog = Backlog;
+    Fixture.Picker.onLoadReported(Name, Load, Fixture.Now);
+  };
+  SetBacklog("near", milliseconds(200));
+  for (int Time = 0; Time < 50; ++Time) {
+    cr_assert(PickLarge() == "other");
+    cr_assert(Fixture.pick() != "far");
+  }
+
+  SetBacklog("other", milliseconds(250));
+  for (int Time = 0; Time < 50; ++Time) {
+    cr_assert(PickLarge() != "far");
+  }
+
+  SetBacklog("near", milliseconds(700));
+  SetBacklog("other", milliseconds(700));
+  for (int Time = 0; Time < 50; ++Time) {
+    cr_assert(PickLarge() == "far");
+    cr_assert(Fixture.pick() != "far");
+  }
+
+  // A reported backlog has left after a while.
+  Fixture.Now += seconds(3);
+  for (int Time = 0; Time < 50; ++Time) {
+    cr_assert(PickLarge() != "far");
+  }
+}
+
+/// At equal load a large response stays in its data centre, where its bytes
+/// cost nothing.
+Test(InstancePicker, LargeResponsesStayInTheDataCentre) {
+  PickerFixture Fixture;
+  int Near = 0;
+  for (int Time = 0; Time < 200; ++Time) {
+    Near += Fixture.Picker.pick(Fixture.View, "bookings", "r-1", {},
+                                Fixture.Now, {}, 360000) == "near"
+                ? 1
+                : 0;
+  }
+  cr_assert_gt(Near, 190);
+}
+
 Test(InstancePicker, NewInstanceInTheRegionGetsRequests) {
   PickerFixture Fixture;
   Fixture.add("new", "north", "north-b");
