mesh: shed load by rank, due time and kind where routes have priorities

The queue ordered by rank and age and admitted requests up to a share of their deadline, so that under sustained overload most answers were late and the least urgent rank starved. Adds mesh/admission: run times with dispersion, a discipline that orders a rank by due time and sheds what can no longer be in time, shares by kind, and a wait bound that leaves room for the run before the objective. PriorityDiscipline no longer scans its queue.

--- a/coordination/AdmissionQueue.cpp
+++ b/coordination/AdmissionQueue.cpp
@@ -39,8 +39,12 @@
       std::size_t(this->Limits.Capacity) * this->Limits.QueuePerCapacity;
 
   if (this->Discipline->size() >= MaxWaiting) {
-    this->RejectedOnOffer.push_back(Request.Number);
-    return;
+    auto Displaced = this->Discipline->displaceFor(Request);
+    this->RejectedOnOffer.push_back(Displaced ? Displaced->Number
+                                              : Request.Number);
+    if (!Displaced) {
+      return;
+    }
   }
 
   this->Discipline->push(Request);
@@ -67,6 +71,11 @@
     this->Running[Next->Number] = std::move(*Next);
   }
 
+  for (const QueuedRequest &Excess :
+       this->Discipline->removeExcess(this->limit(), Now)) {
+    Decisions.push_back({Excess.Number, AdmissionVerdict::Shed});
+  }
+
   return Decisions;
 }
 
@@ -119,6 +128,19 @@
   }
 }
 
+void AdmissionQueue::setDiscipline(
+    std::unique_ptr<QueueDiscipline> NewDiscipline, TimePoint Now) {
+  while (auto Moved = this->Discipline->pop(this->limit(), Now)) {
+    NewDiscipline->push(*Moved);
+  }
+  this->Discipline = std::move(NewDiscipline);
+}
+
+std::optional<Duration> AdmissionQueue::workAhead(const QueuedRequest &Request,
+                                                  TimePoint Now) const {
+  return this->Discipline->workAhead(Request, Now);
+}
+
 std::uint32_t AdmissionQueue::limit() const {
   return std::max<std::uint32_t>(static_cast<std::uint32_t>(this->Limit), 1);
 }
--- a/coordination/AdmissionQueue.h
+++ b/coordination/AdmissionQueue.h
@@ -58,6 +58,15 @@
 
   void setCapacity(std::uint32_t Capacity);
 
+  /// Replaces the discipline; the waiting requests are kept.
+  void setDiscipline(std::unique_ptr<QueueDiscipline> NewDiscipline,
+                     TimePoint Now);
+
+  /// Expected run time of the waiting requests that start before \p Request;
+  /// nothing when the discipline does not know run times.
+  std::optional<Duration> workAhead(const QueuedRequest &Request,
+                                    TimePoint Now) const;
+
   std::size_t waiting() const { return this->Discipline->size(); }
   std::size_t running() const { return this->Running.size(); }
 
--- a/coordination/QueueDiscipline.cpp
+++ b/coordination/QueueDiscipline.cpp
@@ -228,33 +228,55 @@
     : ServiceTimes(ServiceTimes) {}
 
 void PriorityDiscipline::push(const QueuedRequest &Request) {
-  this->Waiting[{Request.Rank, Request.ArrivedAt, Request.Number}] = Request;
+  TimePoint LatestStart =
+      Request.Deadline == TimePoint::max()
+          ? Request.Deadline
+          : Request.Deadline - this->ServiceTimes.expected(Request.Class) / 2;
+  Entry Added = {{Request.Rank, Request.ArrivedAt, Request.Number},
+                 {LatestStart, Request.Number}};
+  this->Waiting[Added.Key] = Request;
+  this->Expiring.insert(Added.Expiry);
+  this->Entries[Request.Number] = Added;
+  ++this->CountByRank[Request.Rank];
+}
+
+QueuedRequest
+PriorityDiscipline::extract(std::map<OrderKey, QueuedRequest>::iterator At) {
+  QueuedRequest Removed = std::move(At->second);
+  this->Waiting.erase(At);
+  auto Found = this->Entries.find(Removed.Number);
+  this->Expiring.erase(Found->second.Expiry);
+  this->Entries.erase(Found);
+
+  auto Count = this->CountByRank.find(Removed.Rank);
+  if (--Count->second == 0) {
+    this->CountByRank.erase(Count);
+  }
+  return Removed;
 }
 
 std::optional<QueuedRequest> PriorityDiscipline::pop(std::uint32_t, TimePoint) {
   if (this->Waiting.empty()) {
     return std::nullopt;
   }
-  return std::move(this->Waiting.extract(this->Waiting.begin()).mapped());
+  return this->extract(this->Waiting.begin());
 }
 
 bool PriorityDiscipline::remove(RequestNumber Number) {
-  return std::erase_if(this->Waiting, [&](const auto &Entry) {
-           return Entry.second.Number == Number;
-         }) > 0;
+  auto Found = this->Entries.find(Number);
+  if (Found == this->Entries.end()) {
+    return false;
+  }
+  this->extract(this->Waiting.find(Found->second.Key));
+  return true;
 }
 
 std::vector<QueuedRequest> PriorityDiscipline::removeLate(TimePoint Now) {
   std::vector<QueuedRequest> Late;
-  std::erase_if(this->Waiting, [&](const auto &Entry) {
-    const QueuedRequest &Request = Entry.second;
-    bool IsLate = Now + this->ServiceTimes.expected(Request.Class) / 2 >=
-                  Request.Deadline;
-    if (IsLate) {
-      Late.push_back(Request);
-    }
-    return IsLate;
-  });
+  while (!this->Expiring.empty() && this->Expiring.begin()->first <= Now) {
+    OrderKey Key = this->Entries.at(this->Expiring.begin()->second).Key;
+    Late.push_back(this->extract(this->Waiting.find(Key)));
+  }
   return Late;
 }
 
@@ -262,8 +284,8 @@
 
 std::size_t PriorityDiscipline::countAhead(std::uint32_t Rank) const {
   std::size_t Count = 0;
-  for (const auto &[At, Request] : this->Waiting) {
-    Count += Request.Rank <= Rank ? 1 : 0;
+  for (const auto &[Other, Waiting] : this->CountByRank) {
+    Count += Other <= Rank ? Waiting : 0;
   }
   return Count;
 }
--- a/coordination/QueueDiscipline.h
+++ b/coordination/QueueDiscipline.h
@@ -8,8 +8,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
+#include <unordered_map>
 #include <vector>
 
 namespace hemlockspar {
@@ -29,6 +31,9 @@
   /// Lower ranks are dispatched first by PriorityDiscipline; the others ignore
   /// it.
   std::uint32_t Rank = 0;
+
+  /// A response by this time is worth most to the caller.
+  TimePoint DueAt = TimePoint::max();
 };
 
 /// Queue order that operators declare for a service.
@@ -67,6 +72,32 @@
     (void)Rank;
     return this->size();
   }
+
+  /// Expected run time of the waiting requests that are dispatched before \p
+  /// Request; nothing when the discipline does not know run times.
+  virtual std::optional<Duration> workAhead(const QueuedRequest &Request,
+                                            TimePoint Now) const {
+    (void)Request;
+    (void)Now;
+    return std::nullopt;
+  }
+
+  /// Removes and returns requests that would start too late behind the others,
+  /// given that \p Limit requests may run at once.
+  virtual std::vector<QueuedRequest> removeExcess(std::uint32_t Limit,
+                                                  TimePoint Now) {
+    (void)Limit;
+    (void)Now;
+    return {};
+  }
+
+  /// Removes and returns a waiting request in whose place \p Request may wait;
+  /// nothing when none is less urgent.
+  virtual std::optional<QueuedRequest>
+  displaceFor(const QueuedRequest &Request) {
+    (void)Request;
+    return std::nullopt;
+  }
 };
 
 /// First come, first served.
@@ -157,8 +188,21 @@
 private:
   using OrderKey = std::tuple<std::uint32_t, TimePoint, RequestNumber>;
 
+  /// A waiting request in the order of the latest useful start.
+  using ExpiryKey = std::pair<TimePoint, RequestNumber>;
+
+  struct Entry {
+    OrderKey Key;
+    ExpiryKey Expiry;
+  };
+
+  QueuedRequest extract(std::map<OrderKey, QueuedRequest>::iterator At);
+
   const ServiceTimeEstimator &ServiceTimes;
   std::map<OrderKey, QueuedRequest> Waiting;
+  std::unordered_map<RequestNumber, Entry> Entries;
+  std::set<ExpiryKey> Expiring;
+  std::map<std::uint32_t, std::size_t> CountByRank;
 };
 
 std::unique_ptr<QueueDiscipline>
--- a/mesh/Attempt.h
+++ b/mesh/Attempt.h
@@ -4,6 +4,7 @@
 #include "mesh/MeshView.h"
 #include "mesh/ServerLoad.h"
 #include "mesh/ServerReport.h"
+#include "mesh/admission/AdmissionInputs.h"
 
 namespace hemlockspar {
 
@@ -85,6 +86,9 @@
   /// For Busy: the expected wait.
   Duration ExpectedWait{};
 
+  /// For Busy, when the decision was made in this process: its inputs.
+  std::optional<AdmissionInputs> Admission;
+
   /// For NotOwner: the owner known to the instance, and the range of keys
   /// around this one that it owns; empty when no owner is known.
   InstanceId Owner;
--- a/mesh/BackendDispatcher.cpp
+++ b/mesh/BackendDispatcher.cpp
@@ -87,6 +87,7 @@
       Client(Io, serverLimits()),
       Queue(nonAdaptiveLimits(), RouteTimes,
             std::make_unique<PriorityDiscipline>(RouteTimes)),
+      Ranked(Queue, RouteTimes, Standing),
       MeanRunSeconds(InitialMeanRunSeconds) {}
 
 std::optional<AttemptResult>
@@ -166,16 +167,38 @@
                        this->Standing.stands(Context.Rank, Now)});
 }
 
+AdmissionInputs
+BackendDispatcher::admissionInputs(const AttemptContext &Context,
+                                   TimePoint Now) const {
+  if (this->Ranked.isActive()) {
+    return this->Ranked.inputsOf(
+        Context,
+        std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(this->MeanRunSeconds)),
+        this->Pace.factor(Now), Now);
+  }
+  AdmissionInputs Inputs;
+  Inputs.ExpectedWait = this->expectedWait(Context.Rank);
+  Inputs.MaxWait = this->maxWait(Context, Now);
+  Inputs.Run.Mean = this->RouteTimes.expected(Context.RouteName);
+  Inputs.Standing = this->Standing.stands(Context.Rank, Now);
+  Inputs.Running = static_cast<std::uint32_t>(this->Queue.running());
+  Inputs.Waiting = static_cast<std::uint32_t>(this->Queue.waiting());
+  return Inputs;
+}
+
 bool BackendDispatcher::mayAdmit(const AttemptContext &Context,
                                  AttemptResult &Refusal) {
   if (auto Unavailable = this->checkServer(Context)) {
     Refusal = std::move(*Unavailable);
     return false;
   }
-  Duration Wait = this->expectedWait(Context.Rank);
-  if (Wait > this->maxWait(Context, BootClock::now())) {
-    Refusal = notRunResult(AttemptReason::Busy, Wait);
-    Refusal.Load = this->load();
+  TimePoint Now = BootClock::now();
+  this->Ranked.configure(this->View.configuration(), Context.Service, Now);
+  AdmissionInputs Inputs = this->admissionInputs(Context, Now);
+  if (Inputs.ExpectedWait > Inputs.MaxWait) {
+    this->Ranked.onArrival(Context, Now);
+    Refusal = this->busy(Inputs, Context);
     return false;
   }
   return true;
@@ -201,34 +224,50 @@
   this->Queue.setCapacity(
       std::max<std::uint32_t>(this->Server.lastReport().Slots, 1));
   this->recordOfferedLoad(Context, BootClock::now());
-  Duration Wait = this->expectedWait(Context.Rank);
   TimePoint Now = BootClock::now();
+  this->Ranked.configure(this->View.configuration(), Context.Service, Now);
+  this->Ranked.onArrival(Context, Now);
   this->Standing.onArrival(Context.Rank,
                            this->Queue.countStartsBefore(Context.Rank),
                            this->Queue.limit(), Now);
-  if (Wait > this->maxWait(Context, Now)) {
-    return this->refusal(AttemptReason::Busy, Wait);
+  AdmissionInputs Inputs = this->admissionInputs(Context, Now);
+  if (Inputs.ExpectedWait > Inputs.MaxWait) {
+    return this->busy(Inputs, Context);
   }
   this->updateColdStart(Context.Service);
   if (!this->ColdStart.tryReserve(Context.Rank, Now)) {
-    return this->refusal(AttemptReason::Cold, this->ColdStart.untilNext(Now));
+    return this->refusal(AttemptReason::Cold, this->ColdStart.untilNext(Now),
+                         Context);
   }
 
   RequestNumber Number = ++this->LastNumber;
   if (!this->admit(Number, Context, Watch, Yield)) {
     this->ColdStart.onDropped();
-    return this->refusal(AttemptReason::Busy, this->expectedWait(0));
+    Inputs = this->admissionInputs(Context, BootClock::now());
+    if (!this->Ranked.isActive()) {
+      Inputs.ExpectedWait = this->expectedWait(0);
+    }
+    return this->busy(Inputs, Context);
   }
   return this->serveAdmitted(Number, Request, Context, Watch, Yield);
 }
 
-AttemptResult BackendDispatcher::refusal(AttemptReason Reason,
-                                         Duration Wait) const {
+AttemptResult BackendDispatcher::refusal(AttemptReason Reason, Duration Wait,
+                                         const AttemptContext &Context) const {
+  this->Counters.onRefusal(Reason, Context.Rank);
   AttemptResult Refusal = notRunResult(Reason, Wait);
   Refusal.Load = this->load();
   return Refusal;
 }
 
+AttemptResult BackendDispatcher::busy(const AdmissionInputs &Inputs,
+                                      const AttemptContext &Context) const {
+  AttemptResult Refusal =
+      this->refusal(AttemptReason::Busy, Inputs.ExpectedWait, Context);
+  Refusal.Admission = Inputs;
+  return Refusal;
+}
+
 void BackendDispatcher::updateColdStart(const std::string &Service) {
   const ConfigurationPtr &Active = this->View.configuration();
   if (!Active) {
@@ -260,6 +299,7 @@
   this->Queue.onFinished(Number, RunTime, Overloaded, Now);
   if (Result.Outcome == RequestOutcome::Answered) {
     Result.RunTime = RunTime;
+    this->Ranked.recordRun(Context.RouteName, RunTime);
     double Seconds = std::chrono::duration<double>(RunTime).count();
     this->MeanRunSeconds += MeanRunWeight * (Seconds - this->MeanRunSeconds);
     this->Counters.recordServerRunTime(RunTime);
@@ -283,6 +323,7 @@
   Queued.Rank = Context.Rank;
   Queued.ArrivedAt = BootClock::now();
   Queued.Deadline = Context.Deadline;
+  Queued.DueAt = this->Ranked.dueAt(Context);
   this->Queue.offer(Queued, Queued.ArrivedAt);
   this->applyVerdicts();
 
--- a/mesh/BackendDispatcher.h
+++ b/mesh/BackendDispatcher.h
@@ -7,6 +7,7 @@
 #include "mesh/MeshMetrics.h"
 #include "mesh/RequestHeaderCodec.h"
 #include "mesh/WaitPolicy.h"
+#include "mesh/admission/RankedAdmission.h"
 #include "mesh/placement/ColdStartLimiter.h"
 #include "mesh/placement/ServerPace.h"
 #include "net/HttpClient.h"
@@ -62,8 +63,13 @@
                   const boost::asio::yield_context &Yield);
   Duration expectedWait(std::uint32_t Rank) const;
   Duration maxWait(const AttemptContext &Context, TimePoint Now) const;
+  AdmissionInputs admissionInputs(const AttemptContext &Context,
+                                  TimePoint Now) const;
   void updateColdStart(const std::string &Service);
-  AttemptResult refusal(AttemptReason Reason, Duration Wait) const;
+  AttemptResult refusal(AttemptReason Reason, Duration Wait,
+                        const AttemptContext &Context) const;
+  AttemptResult busy(const AdmissionInputs &Inputs,
+                     const AttemptContext &Context) const;
   AttemptResult serveAdmitted(RequestNumber Number, HttpRequest &Request,
                               const AttemptContext &Context, CallerWatch &Watch,
                               const boost::asio::yield_context &Yield);
@@ -91,6 +97,7 @@
   ServiceTimeEstimator RouteTimes;
   AdmissionQueue Queue;
   StandingQueue Standing;
+  RankedAdmission Ranked;
   ColdStartLimiter ColdStart;
   ServerPace Pace;
   std::map<RequestNumber, Waiter *> Waiters;
--- a/mesh/MeshMetrics.cpp
+++ b/mesh/MeshMetrics.cpp
@@ -3,6 +3,8 @@
 #include <prometheus/counter.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+
 namespace hemlockspar {
 
 namespace {
@@ -12,6 +14,10 @@
 const prometheus::Histogram::BucketBoundaries LatencyBucketSeconds = {
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0};
 
+/// Less urgent ranks are counted as this one, which bounds the number of
+/// series.
+constexpr std::uint32_t MaxRankLabel = 15;
+
 prometheus::Histogram &histogram(prometheus::Registry &Registry,
                                  const char *Name, const char *Help) {
   return prometheus::BuildHistogram()
@@ -43,6 +49,11 @@
                      .Name("hemlockspar_store_calls_total")
                      .Help("calls to the platform's store by kind and table")
                      .Register(*Registry)),
+      Refusals(prometheus::BuildCounter()
+                   .Name("hemlockspar_refusals_total")
+                   .Help("requests refused by the local queue by reason and "
+                         "rank")
+                   .Register(*Registry)),
       RequestSeconds(histogram(*Registry, "hemlockspar_request_seconds",
                                "time from a request to its response")),
       ServerSeconds(histogram(*Registry, "hemlockspar_server_seconds",
@@ -66,6 +77,11 @@
   this->ServerSeconds.Observe(seconds(Elapsed));
 }
 
+void MeshMetrics::onRefusal(AttemptReason Reason, std::uint32_t Rank) {
+  std::string Label = std::to_string(std::min(Rank, MaxRankLabel));
+  this->Refusals.Add({{"reason", nameOf(Reason)}, {"rank", Label}}).Increment();
+}
+
 void MeshMetrics::onStoreCall(const std::string &Kind,
                               const std::string &Table) {
   this->StoreCalls.Add({{"kind", Kind}, {"table", Table}}).Increment();
--- a/mesh/MeshMetrics.h
+++ b/mesh/MeshMetrics.h
@@ -25,6 +25,9 @@
   /// Elapsed.
   void recordServerRunTime(Duration Elapsed);
 
+  /// Records that a request of \p Rank was refused by the local queue.
+  void onRefusal(AttemptReason Reason, std::uint32_t Rank);
+
   /// Records a call of \p Kind on \p Table of the store.
   void onStoreCall(const std::string &Kind, const std::string &Table);
 
@@ -39,6 +42,7 @@
   std::unique_ptr<prometheus::Registry> Registry;
   prometheus::Family<prometheus::Counter> &Requests;
   prometheus::Family<prometheus::Counter> &StoreCalls;
+  prometheus::Family<prometheus::Counter> &Refusals;
   prometheus::Histogram &RequestSeconds;
   prometheus::Histogram &ServerSeconds;
   prometheus::Gauge &Running;
--- a/mesh/RequestRouter.cpp
+++ b/mesh/RequestRouter.cpp
@@ -3,6 +3,7 @@
 #include "core/Log.h"
 #include "daemon/RequestHeaders.h"
 #include "mesh/HopCodec.h"
+#include "mesh/admission/ServiceRanks.h"
 #include "mesh/placement/HomePolicy.h"
 #include "net/Event.h"
 
@@ -79,6 +80,23 @@
   return std::hash<std::string>()(Name) ^ static_cast<std::uint64_t>(Now);
 }
 
+/// Adds the inputs of a refusal that was decided in this process to \p Line.
+LogLine &withInputs(LogLine &Line, const AttemptResult &Result) {
+  if (!Result.Admission) {
+    return Line;
+  }
+  const AdmissionInputs &Inputs = *Result.Admission;
+  return Line.with("wait_ms", toMilliseconds(Inputs.ExpectedWait))
+      .with("max_wait_ms", toMilliseconds(Inputs.MaxWait))
+      .with("run_ms", toMilliseconds(Inputs.Run.Mean))
+      .with("run_deviation_ms", toMilliseconds(Inputs.Run.Deviation))
+      .with("run_samples", static_cast<long long>(Inputs.Run.Samples))
+      .with("standing", Inputs.Standing ? 1 : 0)
+      .with("owed", Inputs.Owed ? 1 : 0)
+      .with("running", static_cast<long long>(Inputs.Running))
+      .with("waiting", static_cast<long long>(Inputs.Waiting));
+}
+
 http::status statusOf(const AttemptResult &Result) {
   if (Result.Outcome == RequestOutcome::NotRun) {
     return http::status::service_unavailable;
@@ -518,8 +536,13 @@
 }
 
 bool RequestRouter::mayRetry(const RequestState &State, TimePoint Now) {
+  ServiceRanks Ranks =
+      ranksOf(*State.ActiveConfiguration, State.Context.Service);
+  RetryUrgency Urgency = State.Context.Rank > Ranks.MostUrgent
+                             ? RetryUrgency::LessUrgent
+                             : RetryUrgency::MostUrgent;
   return State.ServerAttempts < State.SelectedRoute->MaxAttempts &&
-         this->Budget.tryConsume(State.Context.Service, Now);
+         this->Budget.tryConsume(State.Context.Service, Now, Urgency);
 }
 
 RequestRouter::NextStep
@@ -591,7 +614,8 @@
 void RequestRouter::logRequest(const AttemptResult &Result,
                                const RequestState &State) const {
   bool IsErrorAnswer = Result.Outcome != RequestOutcome::Answered;
-  LogLine(LogLevel::Info, "route", "request")
+  LogLine Line(LogLevel::Info, "route", "request");
+  withInputs(Line, Result)
       .with("request", State.Context.RequestId)
       .with("route", State.SelectedRoute->Name)
       .with("configuration",
@@ -630,9 +654,11 @@
   AttemptResult Result =
       Reject ? notRunResult(AttemptReason::Leaving)
              : this->LocalDispatcher.serve(Request, *Context, Watch, Yield);
-  LogLine(LogLevel::Info, "gate", "peer_request")
+  LogLine Line(LogLevel::Info, "gate", "peer_request");
+  withInputs(Line, Result)
       .with("request", Context->RequestId)
       .with("service", Context->Service)
+      .with("rank", static_cast<long long>(Context->Rank))
       .with("key", Context->Key ? static_cast<long long>(*Context->Key) : -1)
       .with("outcome", nameOf(Result.Outcome))
       .with("reason", nameOf(Result.Reason))
--- a/mesh/RetryBudget.cpp
+++ b/mesh/RetryBudget.cpp
@@ -14,7 +14,8 @@
   this->evictExpired(Current, Now);
 }
 
-bool RetryBudget::tryConsume(const std::string &Service, TimePoint Now) {
+bool RetryBudget::tryConsume(const std::string &Service, TimePoint Now,
+                             RetryUrgency Urgency) {
   Counts &Current = this->ServiceCounts[Service];
   this->evictExpired(Current, Now);
 
@@ -27,13 +28,21 @@
   if (static_cast<double>(Current.Retries.size()) + 1 > MaxRetries) {
     return false;
   }
+  if (Urgency == RetryUrgency::LessUrgent) {
+    if (static_cast<double>(Current.LessUrgentRetries.size()) + 1 >
+        LessUrgentFraction * MaxRetries) {
+      return false;
+    }
+    Current.LessUrgentRetries.push_back(Now);
+  }
   Current.Retries.push_back(Now);
   return true;
 }
 
 void RetryBudget::evictExpired(Counts &Current, TimePoint Now) const {
   TimePoint Oldest = Now - this->Bounds.Window;
-  for (std::deque<TimePoint> *Times : {&Current.Requests, &Current.Retries}) {
+  for (std::deque<TimePoint> *Times :
+       {&Current.Requests, &Current.Retries, &Current.LessUrgentRetries}) {
     while (!Times->empty() && Times->front() < Oldest) {
       Times->pop_front();
     }
