--- a/tests/mesh/RetryBudgetTest.cpp
+++ b/tests/mesh/RetryBudgetTest.cpp
@@ -51,3 +51,23 @@
   cr_assert(!Budget.tryConsume("b", Now));
   cr_assert(Budget.tryConsume("a", Now));
 }
+
+/// Retries of less urgent requests must not use up what calls of running
+/// requests need.
+Test(RetryBudget, ReservesAQuarterForTheMostUrgent) {
+  RetryBudget Budget({0.2, std::chrono::seconds(10), 0});
+  TimePoint Now{std::chrono::seconds(5)};
+  for (int Count = 0; Count < 1000; ++Count) {
+    Budget.recordRequest("a", Now);
+  }
+  int LessUrgent = 0;
+  while (Budget.tryConsume("a", Now, RetryUrgency::LessUrgent)) {
+    ++LessUrgent;
+  }
+  int MostUrgent = 0;
+  while (Budget.tryConsume("a", Now)) {
+    ++MostUrgent;
+  }
+  cr_assert_eq(LessUrgent, 90);
+  cr_assert_eq(MostUrgent, 30);
+}
