--- a/mesh/admission/UrgencyDiscipline.cpp
+++ b/mesh/admission/UrgencyDiscipline.cpp
@@ -65,8 +65,9 @@
   return Kind.Rank != CallRank && this->Shares.isOwed(Kind, Fraction, Now);
 }
 
-std::optional<QueuedRequest> UrgencyDiscipline::pop(std::uint32_t,
+std::optional<QueuedRequest> UrgencyDiscipline::pop(std::uint32_t Limit,
                                                     TimePoint Now) {
+  this->Slots = Limit;
   if (this->Waiting.empty()) {
     return std::nullopt;
   }
@@ -82,6 +83,7 @@
           : this->extract(Kinds,
                           Kinds.lower_bound(std::make_tuple(Owed->first)));
   this->Shares.onStarted({Next.Rank, Next.Class}, Now);
+  this->Load.onStarted(Next.Rank, this->Times.of(Next.Class).Mean, Now);
   return Next;
 }
 
@@ -207,7 +209,8 @@
                              TimePoint Now) const {
   Entry New = this->entryOf(Request);
   if (!this->isOwed(New.Kind, Now)) {
-    return this->workBefore(New);
+    double Left = this->Load.fractionLeft(New.Rank, this->Slots, Now);
+    return std::chrono::duration_cast<Duration>(this->workBefore(New) / Left);
   }
   auto Own = this->Totals.find(New.Kind);
   return Own == this->Totals.end() ? Duration::zero() : Own->second.Work;
--- a/mesh/admission/UrgencyDiscipline.h
+++ b/mesh/admission/UrgencyDiscipline.h
@@ -3,6 +3,7 @@
 #include "mesh/WaitPolicy.h"
 #include "mesh/admission/KindShares.h"
 #include "mesh/admission/UrgencyOrder.h"
+#include "mesh/admission/UrgentLoad.h"
 
 #include <boost/multi_index/hashed_index.hpp>
 #include <boost/multi_index/key.hpp>
@@ -123,6 +124,10 @@
   const StandingQueue &Standing;
   KindShares &Shares;
   std::unique_ptr<UrgencyOrder> Order;
+  UrgentLoad Load;
+
+  /// As last stated by pop.
+  std::uint32_t Slots = 1;
   Entries Waiting;
   std::map<RequestKind, KindTotal> Totals;
 };
