--- a/stand_ins/FakePlatformServer.cpp
+++ b/stand_ins/FakePlatformServer.cpp
@@ -257,6 +257,8 @@
   --this->Running;
   HttpResponse Response(http::status::ok, 11);
   Response.body() = absl::StrCat(this->Settings.Id, " ran ", RequestId);
+  Response.body().resize(std::max(Response.body().size(), Now.MinResponseBytes),
+                         '.');
   Response.set("Request-Id", Now.WrongRequestIds ? "another" : RequestId);
   Response.set("Body-Bytes", std::to_string(Request.body().size()));
   Response.set("Server-Stamp", absl::StrCat("stamp-", RequestId));
--- a/stand_ins/FakePlatformServer.h
+++ b/stand_ins/FakePlatformServer.h
@@ -31,6 +31,9 @@
 
   std::chrono::milliseconds ServiceTime{2};
 
+  /// Bodies of responses are filled up to this length.
+  std::size_t MinResponseBytes = 0;
+
   /// Of ten calls that grant or release keys, this many get no answer and are
   /// applied LateCallDelay after their arrival, from which their time counts.
   unsigned LateCallsOfTen = 0;
--- a/stand_ins/FaultProxy.cpp
+++ b/stand_ins/FaultProxy.cpp
@@ -98,6 +98,7 @@
   std::array<char, BufferBytes> Buffer;
   asio::steady_timer Timer(this->Io);
   error_code Error;
+  std::uint64_t InboundBytes = 0;
 
   while (!Error) {
     std::size_t Count =
@@ -112,6 +113,12 @@
       Timer.async_wait(Yield[Error]);
     }
     asio::async_write(Sink, asio::buffer(Buffer.data(), Count), Yield[Error]);
+    if (!Outbound && Faults.MaxInboundBytes > 0) {
+      InboundBytes += Count;
+      if (InboundBytes >= Faults.MaxInboundBytes) {
+        break;
+      }
+    }
   }
 
   Connection->close();
@@ -131,6 +138,8 @@
     Combined.DropInbound = Combined.DropInbound || Faults.DropInbound;
     Combined.Reset = Combined.Reset || Faults.Reset;
     Combined.DelayMs += Faults.DelayMs;
+    Combined.MaxInboundBytes =
+        std::max(Combined.MaxInboundBytes, Faults.MaxInboundBytes);
   }
   return Combined;
 }
@@ -148,6 +157,7 @@
   Faults.DropInbound = readFlag(*Fields, "cut_back");
   Faults.Reset = readFlag(*Fields, "reset");
   Faults.DelayMs = getUnsigned(*Fields, "delay_ms");
+  Faults.MaxInboundBytes = getUnsigned(*Fields, "max_back_bytes");
 
   this->closeResetLinks();
   return jsonResponse(http::status::ok, Json::Value("set"));
--- a/stand_ins/FaultProxy.h
+++ b/stand_ins/FaultProxy.h
@@ -21,12 +21,16 @@
   /// Closes new and open connections.
   bool Reset = false;
   std::uint64_t DelayMs = 0;
+
+  /// Closes a connection when it has carried this many bytes inbound since the
+  /// fault was set; 0 for no bound.
+  std::uint64_t MaxInboundBytes = 0;
 };
 
 /// TCP proxy that delays, discards or cuts traffic by its source and
 /// destination IP address. Faults are set over HTTP at run time: PUT /links
-/// {"from", "to", "cut_out", "cut_back", "reset", "delay_ms"}; an empty from or
-/// to matches every address.
+/// {"from", "to", "cut_out", "cut_back", "reset", "delay_ms",
+/// "max_back_bytes"}; an empty from or to matches every address.
 class FaultProxy {
 public:
   explicit FaultProxy(boost::asio::io_context &Io);
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -121,6 +121,7 @@
   Fields["cut_back"] = Faults.DropInbound;
   Fields["reset"] = Faults.Reset;
   Fields["delay_ms"] = Json::UInt64(Faults.DelayMs);
+  Fields["max_back_bytes"] = Json::UInt64(Faults.MaxInboundBytes);
   HttpRequest Request(http::verb::put, "/links", 11);
   Request.set(http::field::host, "proxy");
   Request.body() = writeJson(Fields);
@@ -164,6 +165,7 @@
   std::ofstream File(this->path(absl::StrCat("d", Index, ".yaml")));
   File << "instance: d" << Index << "\nregion: r" << Index % 2
        << "\ndata_center: r" << Index % 2 << "-a\nstop_time: 6s\n"
+       << "link_mbps: " << this->LinkMbps << "\n"
        << "listen:\n  callers: " << Host << ":" << CallerPort
        << "\n  readiness: " << Host << ":" << ReadinessPort
        << "\n  reports: " << Host << ":" << ReportPort << "\n  inner: " << Host
--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -91,6 +91,9 @@
   /// hold to \p Ledger.
   void setLedger(OwnershipChecker *Ledger) { this->Ledger = Ledger; }
 
+  /// Rate of each daemon's link in Mbit/s; to be called before the start.
+  void setLinkMbps(double Rate) { this->LinkMbps = Rate; }
+
   /// Keys are granted by calls; to be called before the start.
   void setGrantsByCall() { this->GrantsByCall = true; }
 
@@ -132,6 +135,7 @@
   std::thread IoThread;
   OwnershipChecker *Ledger = nullptr;
   bool GrantsByCall = false;
+  double LinkMbps = 0;
 
   /// Home regions of routes, as the elements of a JSON list.
   std::map<std::string, std::string> HomesOfRoute;
