--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -193,12 +193,13 @@
              Counters),
       ServerReports(Io, Config.Instance, View, Server, KeyManager, Departures,
                     *Adapters.Reports, [this] { this->onServerChanged(); }),
-      CallerServer(Io, limitsOf(Config),
-                   [this](HttpRequest &Request, CallerWatch &Watch,
-                          const asio::yield_context &Yield) {
-                     return this->Router.serveCaller(Request, Watch, Yield);
-                   },
-                   PipelineLimits()),
+      CallerServer(
+          Io, limitsOf(Config),
+          [this](HttpRequest &Request, CallerWatch &Watch,
+                 const asio::yield_context &Yield) {
+            return this->Router.serveCaller(Request, Watch, Yield);
+          },
+          PipelineLimits()),
       PeerServer(Io, limitsOf(Config),
                  [this](HttpRequest &Request, CallerWatch &Watch,
                         const asio::yield_context &Yield) {
