tests: clients that are not under control

Clients that send more than a process can hold and leave their connections open cause a daemon to run out of memory. The settings memory_mb and descriptors are parsed and not used yet.

--- a/mesh/MeshSettings.cpp
+++ b/mesh/MeshSettings.cpp
@@ -9,6 +9,14 @@
 constexpr auto MinDuration = std::chrono::milliseconds(1);
 constexpr auto MaxDuration = std::chrono::minutes(10);
 
+/// Below this, the process itself leaves nothing for messages.
+constexpr std::uint64_t MinMemoryMb = 32;
+constexpr std::uint64_t MaxMemoryMb = 1 << 20;
+
+/// 200 of them are for files, the others are divided into shares.
+constexpr std::size_t MinDescriptors = 300;
+constexpr std::size_t MaxDescriptors = 1 << 20;
+
 void readListen(SectionReader Section, MeshSettings &Result) {
   Section.readAddress("callers", Result.CallerAddress);
   Section.readAddress("readiness", Result.ReadinessAddress);
@@ -81,6 +89,10 @@
   Section.readDuration("stop_time", MinDuration, MaxDuration, false,
                        Result.StopTime);
   Section.readNumber("connections", 16, 100000, false, Result.MaxConnections);
+  Section.readNumber("memory_mb", MinMemoryMb, MaxMemoryMb, false,
+                     Result.MemoryMb);
+  Section.readNumber("descriptors", MinDescriptors, MaxDescriptors, false,
+                     Result.Descriptors);
   Section.readDouble("link_mbps", 0, 1000000, false, Result.LinkMbps);
   readListen(Section.section("listen"), Result);
   readServer(Section.section("server"), Result);
--- a/mesh/MeshSettings.h
+++ b/mesh/MeshSettings.h
@@ -68,6 +68,13 @@
   /// ones wait to be accepted.
   std::size_t MaxConnections = 2000;
 
+  /// Memory of this machine in MB. Three fifths of it are the budget for what
+  /// the process holds on behalf of others.
+  std::uint64_t MemoryMb = 512;
+
+  /// Number of file descriptors that the process may use, as a whole.
+  std::size_t Descriptors = 4096;
+
   /// Rate of this machine's link in Mbit/s; 0 when it is not limited.
   double LinkMbps = 0;
 
--- a/stand_ins/FakePlatformServer.cpp
+++ b/stand_ins/FakePlatformServer.cpp
@@ -28,6 +28,13 @@
 /// Delay of the next report after a response that took keys away.
 constexpr auto ReleaseReportDelay = std::chrono::milliseconds(50);
 
+/// The largest body of the configurations seen.
+HttpLimits serverLimits() {
+  HttpLimits Limits;
+  Limits.MaxBodyBytes = 64 << 20;
+  return Limits;
+}
+
 std::int64_t unixMilliseconds() {
   auto Now = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(Now).count();
@@ -37,7 +44,7 @@
 
 FakePlatformServer::FakePlatformServer(asio::io_context &Io, Config Settings)
     : Io(Io), Settings(std::move(Settings)),
-      Server(Io, {},
+      Server(Io, serverLimits(),
              [this](HttpRequest &Request, CallerWatch &,
                     const asio::yield_context &Yield) {
                return this->serve(Request, Yield);
@@ -257,6 +264,8 @@
   --this->Running;
   HttpResponse Response(http::status::ok, 11);
   Response.body() = absl::StrCat(this->Settings.Id, " ran ", RequestId);
+  Response.body().resize(std::max(Response.body().size(), Now.ResponseBytes),
+                         ' ');
   Response.set("Request-Id", Now.WrongRequestIds ? "another" : RequestId);
   Response.set("Body-Bytes", std::to_string(Request.body().size()));
   Response.set("Server-Stamp", absl::StrCat("stamp-", RequestId));
--- a/stand_ins/FakePlatformServer.h
+++ b/stand_ins/FakePlatformServer.h
@@ -31,6 +31,9 @@
 
   std::chrono::milliseconds ServiceTime{2};
 
+  /// Responses are padded to this size.
+  std::size_t ResponseBytes = 0;
+
   /// Of ten calls that grant or release keys, this many get no answer and are
   /// applied LateCallDelay after their arrival, from which their time counts.
   unsigned LateCallsOfTen = 0;
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -84,6 +84,10 @@
   return {this->hostOf(Index), CallerPort};
 }
 
+Address PlatformMesh::peerAddress(int Index) const {
+  return {this->hostOf(Index), PeerPort};
+}
+
 Address PlatformMesh::peerProxyAddress(int Index) const {
   return {absl::StrCat("127.", this->Number, ".2.", Index + 1), PeerPort};
 }
@@ -155,8 +159,8 @@
           R"({"version":"r)", Version, R"(","resources":[)", Routes, ",",
           serviceText("menus", true), ",", serviceText("bookings", false),
           R"(,{"resource_kind":"limits","metadata":{},"spec":{)",
-          R"("max_header_bytes":16384,"max_body_bytes":1000000,)",
-          R"("header_timeout":"3000ms","idle_timeout":"15000ms"}}]})"));
+          R"("max_header_bytes":16384,"max_body_bytes":)", this->MaxBodyBytes,
+          ",", R"("header_timeout":"3000ms","idle_timeout":"15000ms"}}]})"));
 }
 
 void PlatformMesh::writeSettings(int Index) const {
@@ -178,7 +182,8 @@
        << "\nserver:\n  address: " << Host << ":" << ServerPort
        << "\n  service: " << this->Services[static_cast<std::size_t>(Index)]
        << "\n  grants: " << (this->GrantsByCall ? "rpc" : "heartbeat")
-       << "\n  heartbeat: 300ms\nrepeats:\n  allowance: 1000\n";
+       << "\n  heartbeat: 300ms\nrepeats:\n  allowance: 1000\n"
+       << this->MoreSettings;
 }
 
 void PlatformMesh::startDaemon(int Index) {
--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -48,6 +48,18 @@
     this->HomesOfRoute[Route] = "\"" + Region + "\"";
   }
 
+  /// Declares \p Bytes as the largest body in configurations declared from now
+  /// on.
+  void setMaxBodyBytes(std::uint64_t Bytes) { this->MaxBodyBytes = Bytes; }
+
+  /// Adds the line \p Setting to the settings of daemons started from now on.
+  void addSetting(const std::string &Setting) {
+    this->MoreSettings += Setting + "\n";
+  }
+
+  /// Process ID of the daemon, which must be running.
+  pid_t processOf(int Index) const { return this->Daemons.at(Index); }
+
   void startDaemon(int Index);
 
   /// Whether the most recently started process has logged that it is running.
@@ -107,6 +119,9 @@
 
   /// Address to which callers on the machine of daemon \p Index send requests.
   Address callerAddress(int Index) const;
+
+  /// Address to which other daemons send requests for daemon \p Index.
+  Address peerAddress(int Index) const;
   std::string logOf(int Index) const;
 
 private:
@@ -132,6 +147,8 @@
   std::thread IoThread;
   OwnershipChecker *Ledger = nullptr;
   bool GrantsByCall = false;
+  std::uint64_t MaxBodyBytes = 1000000;
+  std::string MoreSettings;
 
   /// Home regions of routes, as the elements of a JSON list.
   std::map<std::string, std::string> HomesOfRoute;
