net: a memory budget and descriptor shares

Clients whose transfers each stay within the limits could together make a daemon hold any amount of memory, and use up its descriptors: only responses of servers were counted, and each listener accepted 2000 connections.

Requests and responses are read by net/BudgetedRead, which reserves memory before it reads; chunked bodies grow without doubling. Stalled transfers are dropped first (503, Retry-After, not run), otherwise the newcomer is refused. mesh/DescriptorShares divides the descriptors; a full listener closes the connection without progress for longest.

--- a/mesh/BackendDispatcher.cpp
+++ b/mesh/BackendDispatcher.cpp
@@ -47,8 +47,9 @@
 /// slot: a handover completes within 1.5 s unless something else fails.
 constexpr auto MaxKeyWait = std::chrono::milliseconds(1500);
 
-HttpClient::Limits serverLimits() {
+HttpClient::Limits serverLimits(const MemoryBudgetPtr &Memory) {
   HttpClient::Limits Bounds;
+  Bounds.Memory = Memory;
   Bounds.ConnectTimeout = std::chrono::milliseconds(500);
   Bounds.MaxIdleConnections = 64;
   Bounds.MaxIdleTime = std::chrono::seconds(8);
@@ -81,10 +82,11 @@
                                      LocalServer &Server, KeyAdmission &Keys,
                                      const RequestHeaderCodec &Codec,
                                      MeshMetrics &Counters,
-                                     std::function<void()> OnConnectionRefused)
+                                     std::function<void()> OnConnectionRefused,
+                                     const MemoryBudgetPtr &Memory)
     : Io(Io), View(View), Server(Server), Keys(Keys), HeaderCodec(Codec),
       Counters(Counters), OnConnectionRefused(std::move(OnConnectionRefused)),
-      Client(Io, serverLimits()),
+      Client(Io, serverLimits(Memory)),
       Queue(nonAdaptiveLimits(), RouteTimes,
             std::make_unique<PriorityDiscipline>(RouteTimes)),
       MeanRunSeconds(InitialMeanRunSeconds) {}
--- a/mesh/BackendDispatcher.h
+++ b/mesh/BackendDispatcher.h
@@ -24,7 +24,8 @@
   BackendDispatcher(boost::asio::io_context &Io, const MeshView &View,
                     LocalServer &Server, KeyAdmission &Keys,
                     const RequestHeaderCodec &Codec, MeshMetrics &Counters,
-                    std::function<void()> OnConnectionRefused);
+                    std::function<void()> OnConnectionRefused,
+                    const MemoryBudgetPtr &Memory);
 
   AttemptResult serve(HttpRequest &Request, const AttemptContext &Context,
                       CallerWatch &Watch,
--- a/mesh/FailoverStoreTransport.cpp
+++ b/mesh/FailoverStoreTransport.cpp
@@ -26,8 +26,10 @@
 /// Added to the timeout of a relayed call for the round trip to the peer.
 constexpr auto RelaySlack = std::chrono::milliseconds(300);
 
-HttpClient::Limits limitsFor(const std::string &LocalHost) {
+HttpClient::Limits limitsFor(const std::string &LocalHost,
+                             const MemoryBudgetPtr &Memory) {
   HttpClient::Limits Bounds;
+  Bounds.Memory = Memory;
   Bounds.LocalHost = LocalHost;
   Bounds.MaxIdleConnections = 4;
   Bounds.MaxIdleTime = std::chrono::seconds(30);
@@ -56,10 +58,10 @@
 
 FailoverStoreTransport::FailoverStoreTransport(
     asio::io_context &Io, Address Store, const std::string &LocalHost,
-    std::function<std::vector<Address>()> Peers)
+    std::function<std::vector<Address>()> Peers, const MemoryBudgetPtr &Memory)
     : StoreAddress(std::move(Store)), Peers(std::move(Peers)),
-      StoreClient(Io, limitsFor(LocalHost)),
-      PeerClient(Io, limitsFor(LocalHost)) {}
+      StoreClient(Io, limitsFor(LocalHost, Memory)),
+      PeerClient(Io, limitsFor(LocalHost, Memory)) {}
 
 bool FailoverStoreTransport::mayCallDirectly() const {
   return this->StoreReachable || BootClock::now() >= this->DirectRetryAt;
--- a/mesh/FailoverStoreTransport.h
+++ b/mesh/FailoverStoreTransport.h
@@ -15,7 +15,8 @@
   /// of preference. Connections are opened from \p LocalHost.
   FailoverStoreTransport(boost::asio::io_context &Io, Address Store,
                          const std::string &LocalHost,
-                         std::function<std::vector<Address>()> Peers);
+                         std::function<std::vector<Address>()> Peers,
+                         const MemoryBudgetPtr &Memory);
 
   ExchangeResult exchange(HttpRequest &Request, Duration Timeout,
                           const boost::asio::yield_context &Yield) override;
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -3,6 +3,7 @@
 #include "core/Log.h"
 #include "mesh/CountingStore.h"
 #include "mesh/DepartureClient.h"
+#include "mesh/DescriptorShares.h"
 #include "mesh/FailoverStoreTransport.h"
 #include "mesh/GrantClient.h"
 #include "mesh/HopCodec.h"
@@ -17,6 +18,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <fstream>
+#include <malloc.h>
 #include <sstream>
 
 namespace hemlockspar {
@@ -44,6 +46,11 @@
 
 constexpr auto ShutdownPollInterval = std::chrono::milliseconds(50);
 
+/// Allocations of this size are mapped one by one, so that the memory of a
+/// large body is returned when it is freed. Fixed: the allocator would raise
+/// the threshold to the size of the largest one freed.
+constexpr int MappedAllocationBytes = 128 << 10;
+
 /// Value of the setting server.grants.
 constexpr std::string_view GrantsByCallSetting = "rpc";
 
@@ -129,6 +136,7 @@
   asio::io_context Io;
 
   MeshMetrics Counters;
+  MemoryBudgetPtr Memory;
   MeshView View;
   FailoverStoreTransport Transport;
   std::unique_ptr<Store> StoreClient;
@@ -167,57 +175,70 @@
   std::size_t NextOwnerIndex = 0;
 };
 
-HttpLimits limitsOf(const MeshSettings &Config) {
+/// \p Share is the number of descriptors for the connections.
+HttpLimits limitsOf(const MeshSettings &Config, std::size_t Share) {
   HttpLimits Limits;
-  Limits.MaxConnections = Config.MaxConnections;
+  Limits.MaxConnections = std::min(Config.MaxConnections, Share);
   return Limits;
 }
 
 MeshDaemon::MeshDaemon(const MeshSettings &Config, std::string SettingsPath,
                        const MeshAdapters &Adapters)
     : Config(Config), SettingsPath(std::move(SettingsPath)), Adapters(Adapters),
-      Io(1), Transport(Io, Config.StoreAddress, Config.PeerAddress.Host,
-                       [this] { return this->relayPeers(); }),
+      Io(1), Memory(std::make_shared<MemoryBudget>(Config.MemoryMb)),
+      Transport(
+          Io, Config.StoreAddress, Config.PeerAddress.Host,
+          [this] { return this->relayPeers(); }, Memory),
       StoreClient(std::make_unique<CountingStore>(
           Adapters.MakeStore(Io, Transport), Counters)),
       Sync(Io, *StoreClient, View, *Adapters.Configurations, Config),
-      Views(Io, View, Config.PeerAddress.Host), Server(Config, View),
+      Views(Io, View, Config.PeerAddress.Host, Memory), Server(Config, View),
       Departures(Io, View, Config), Offers(Io, Config.PeerAddress.Host),
       GrantCaller(Io, Server, *Adapters.Grants, *this), Grants(makeGrants()),
       KeyManager(Config.Instance, chooseProcessNumber(),
                  {Config.HeartbeatInterval, Config.MaxHoldTime}, View, *Grants,
                  *this, BootClock::now()),
-      Dispatcher(Io, View, Server, KeyManager, *Adapters.Requests, Counters,
-                 [this] { this->onServerRefusedConnection(); }),
+      Dispatcher(
+          Io, View, Server, KeyManager, *Adapters.Requests, Counters,
+          [this] { this->onServerRefusedConnection(); }, Memory),
       Router(Io, Config, View, Server, Dispatcher, *Adapters.Requests, *this,
-             Counters),
+             Counters, Memory),
       ServerReports(Io, Config.Instance, View, Server, KeyManager, Departures,
                     *Adapters.Reports, [this] { this->onServerChanged(); }),
-      CallerServer(Io, limitsOf(Config),
-                   [this](HttpRequest &Request, CallerWatch &Watch,
-                          const asio::yield_context &Yield) {
-                     return this->Router.serveCaller(Request, Watch, Yield);
-                   }),
-      PeerServer(Io, limitsOf(Config),
-                 [this](HttpRequest &Request, CallerWatch &Watch,
-                        const asio::yield_context &Yield) {
-                   return this->servePeerCall(Request, Watch, Yield);
-                 }),
-      ReportServer(Io, limitsOf(Config),
-                   [this](HttpRequest &Request, CallerWatch &,
-                          const asio::yield_context &Yield) {
-                     return this->ServerReports.serve(Request, Yield);
-                   }),
-      ReadinessServer(Io, limitsOf(Config),
-                      [this](HttpRequest &Request, CallerWatch &,
-                             const asio::yield_context &) {
-                        return this->serveReadiness(Request);
-                      }),
+      CallerServer(
+          Io, limitsOf(Config, DescriptorShares(Config.Descriptors).Callers),
+          [this](HttpRequest &Request, CallerWatch &Watch,
+                 const asio::yield_context &Yield) {
+            return this->Router.serveCaller(Request, Watch, Yield);
+          },
+          Memory),
+      PeerServer(
+          Io, limitsOf(Config, DescriptorShares(Config.Descriptors).Peers),
+          [this](HttpRequest &Request, CallerWatch &Watch,
+                 const asio::yield_context &Yield) {
+            return this->servePeerCall(Request, Watch, Yield);
+          },
+          Memory),
+      ReportServer(
+          Io, limitsOf(Config, DescriptorShares(Config.Descriptors).Service),
+          [this](HttpRequest &Request, CallerWatch &,
+                 const asio::yield_context &Yield) {
+            return this->ServerReports.serve(Request, Yield);
+          },
+          Memory),
+      ReadinessServer(
+          Io, limitsOf(Config, DescriptorShares(Config.Descriptors).Service),
+          [this](HttpRequest &Request, CallerWatch &,
+                 const asio::yield_context &) {
+            return this->serveReadiness(Request);
+          },
+          Memory),
       MetricsServer(
-          Io, limitsOf(Config),
+          Io, limitsOf(Config, DescriptorShares(Config.Descriptors).Service),
           [this](HttpRequest &, CallerWatch &, const asio::yield_context &) {
             return this->serveMetrics();
-          }),
+          },
+          Memory),
       TickTimer(Io), StopTimer(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP) {
   this->View.addListener([this] { this->onViewChanged(); });
 }
@@ -294,7 +315,7 @@
     return;
   }
 
-  HttpLimits Limits = limitsOf(this->Config);
+  HttpLimits Limits = limitsOf(this->Config, this->Config.MaxConnections);
   Limits.MaxHeaderBytes = Active->Limits.HeaderBytes;
   Limits.MaxBodyBytes = Active->Limits.BodyBytes;
   Limits.IdleTimeout =
@@ -419,6 +440,9 @@
   this->Counters.setLoad(this->Dispatcher.load());
   this->Counters.setConfiguration(Active ? Active->Version : 0);
   this->Counters.setInstances(this->View.instances().size());
+  this->Counters.setMemory(*this->Memory);
+  this->Counters.setDisplaced("callers", this->CallerServer.displacedCount());
+  this->Counters.setDisplaced("peers", this->PeerServer.displacedCount());
 
   HttpResponse Response(http::status::ok, 11);
   Response.set(http::field::content_type, "text/plain; version=0.0.4");
@@ -640,6 +664,7 @@
 int runMeshDaemon(const MeshSettings &Config, const std::string &SettingsPath,
                   const MeshAdapters &Adapters) {
   std::signal(SIGPIPE, SIG_IGN);
+  mallopt(M_MMAP_THRESHOLD, MappedAllocationBytes);
   return MeshDaemon(Config, SettingsPath, Adapters).run();
 }
 
--- a/mesh/MeshMetrics.cpp
+++ b/mesh/MeshMetrics.cpp
@@ -27,6 +27,16 @@
       {});
 }
 
+prometheus::Family<prometheus::Counter> &
+counters(prometheus::Registry &Registry, const char *Name, const char *Help) {
+  return prometheus::BuildCounter().Name(Name).Help(Help).Register(Registry);
+}
+
+/// Raises \p Total to \p Value, which never decreases.
+void raise(prometheus::Counter &Total, std::uint64_t Value) {
+  Total.Increment(static_cast<double>(Value) - Total.Value());
+}
+
 double seconds(Duration Span) {
   return std::chrono::duration<double>(Span).count();
 }
@@ -53,7 +63,17 @@
                     "requests waiting for a slot")),
       Configuration(gauge(*Registry, "hemlockspar_configuration_version",
                           "version of the active configuration")),
-      Instances(gauge(*Registry, "hemlockspar_instances", "known instances")) {}
+      Instances(gauge(*Registry, "hemlockspar_instances", "known instances")),
+      HeldBytes(prometheus::BuildGauge()
+                    .Name("hemlockspar_held_bytes")
+                    .Help("bytes of the memory budget in use by kind")
+                    .Register(*Registry)),
+      MemoryRefusals(counters(*Registry, "hemlockspar_memory_refused_total",
+                              "reservations refused by kind")),
+      MemoryDrops(counters(*Registry, "hemlockspar_memory_dropped_total",
+                           "stalled transfers dropped by kind")),
+      Displaced(counters(*Registry, "hemlockspar_connections_displaced_total",
+                         "connections closed in favour of new ones")) {}
 
 void MeshMetrics::onRequest(RequestOutcome Outcome, AttemptReason Reason,
                             Duration Elapsed) {
@@ -84,6 +104,22 @@
   this->Instances.Set(static_cast<double>(Count));
 }
 
+void MeshMetrics::setMemory(const MemoryBudget &Memory) {
+  for (HolderKind Kind :
+       {HolderKind::Connection, HolderKind::Request, HolderKind::Response}) {
+    const MemoryBudget::Usage &Used = Memory.usage(Kind);
+    prometheus::Labels Labels = {{"kind", nameOf(Kind)}};
+    this->HeldBytes.Add(Labels).Set(static_cast<double>(Used.HeldBytes));
+    raise(this->MemoryRefusals.Add(Labels), Used.Refused);
+    raise(this->MemoryDrops.Add(Labels), Used.Dropped);
+  }
+}
+
+void MeshMetrics::setDisplaced(const std::string &Listener,
+                               std::uint64_t Count) {
+  raise(this->Displaced.Add({{"listener", Listener}}), Count);
+}
+
 std::string MeshMetrics::toText() const {
   return prometheus::TextSerializer().Serialize(this->Registry->Collect());
 }
--- a/mesh/MeshMetrics.h
+++ b/mesh/MeshMetrics.h
@@ -2,6 +2,7 @@
 
 #include "daemon/RequestResult.h"
 #include "mesh/Attempt.h"
+#include "net/MemoryBudget.h"
 
 #include <memory>
 #include <prometheus/family.h>
@@ -31,6 +32,10 @@
   void setLoad(const ServerLoad &Load);
   void setConfiguration(std::uint64_t Version);
   void setInstances(std::size_t Count);
+  void setMemory(const MemoryBudget &Memory);
+
+  /// Number of connections of \p Listener closed in favour of new ones.
+  void setDisplaced(const std::string &Listener, std::uint64_t Count);
 
   /// Returns the metrics in the Prometheus exposition format.
   std::string toText() const;
@@ -45,6 +50,10 @@
   prometheus::Gauge &Waiting;
   prometheus::Gauge &Configuration;
   prometheus::Gauge &Instances;
+  prometheus::Family<prometheus::Gauge> &HeldBytes;
+  prometheus::Family<prometheus::Counter> &MemoryRefusals;
+  prometheus::Family<prometheus::Counter> &MemoryDrops;
+  prometheus::Family<prometheus::Counter> &Displaced;
 };
 
 } // namespace hemlockspar
--- a/mesh/PeerViewSync.cpp
+++ b/mesh/PeerViewSync.cpp
@@ -22,8 +22,10 @@
 /// the new owner of a key anyway.
 constexpr auto MinOwnersPullInterval = std::chrono::milliseconds(2000);
 
-HttpClient::Limits limitsFor(const std::string &LocalHost) {
+HttpClient::Limits limitsFor(const std::string &LocalHost,
+                             const MemoryBudgetPtr &Memory) {
   HttpClient::Limits Bounds;
+  Bounds.Memory = Memory;
   Bounds.LocalHost = LocalHost;
   Bounds.MaxIdleConnections = 1;
   Bounds.MaxIdleTime = std::chrono::seconds(20);
@@ -33,8 +35,9 @@
 } // namespace
 
 PeerViewSync::PeerViewSync(asio::io_context &Io, MeshView &View,
-                           const std::string &LocalHost)
-    : Io(Io), View(View), Client(Io, limitsFor(LocalHost)) {}
+                           const std::string &LocalHost,
+                           const MemoryBudgetPtr &Memory)
+    : Io(Io), View(View), Client(Io, limitsFor(LocalHost, Memory)) {}
 
 void PeerViewSync::onPeerVersions(const ViewVersions &Theirs,
                                   const Address &Peer) {
--- a/mesh/PeerViewSync.h
+++ b/mesh/PeerViewSync.h
@@ -14,7 +14,7 @@
 public:
   /// Connections are opened from \p LocalHost.
   PeerViewSync(boost::asio::io_context &Io, MeshView &View,
-               const std::string &LocalHost);
+               const std::string &LocalHost, const MemoryBudgetPtr &Memory);
 
   /// The daemon at \p Peer has stated how far its view is complete: requests
   /// the rows that are missing here.
--- a/mesh/RequestRouter.cpp
+++ b/mesh/RequestRouter.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.h"
 #include "daemon/RequestHeaders.h"
+#include "mesh/DescriptorShares.h"
 #include "mesh/HopCodec.h"
 #include "mesh/placement/HomePolicy.h"
 #include "net/Event.h"
@@ -56,8 +57,12 @@
 /// Approximate time for a terminated process to be restarted.
 constexpr auto RestartTime = std::chrono::milliseconds(600);
 
-HttpClient::Limits peerLimits(const MeshSettings &Config) {
+HttpClient::Limits peerLimits(const MeshSettings &Config,
+                              const MemoryBudgetPtr &Memory) {
   HttpClient::Limits Bounds;
+  Bounds.Memory = Memory;
+  Bounds.MaxTotalIdleConnections =
+      DescriptorShares(Config.Descriptors).IdlePeerConnections;
   Bounds.LocalHost = Config.PeerAddress.Host;
   Bounds.MaxIdleTime = std::chrono::seconds(20);
   Bounds.MaxBodyBytes = 64 << 20;
@@ -116,10 +121,11 @@
                              const MeshView &View, const LocalServer &Server,
                              BackendDispatcher &LocalDispatcher,
                              const RequestHeaderCodec &Codec,
-                             RouterEvents &Events, MeshMetrics &Counters)
+                             RouterEvents &Events, MeshMetrics &Counters,
+                             const MemoryBudgetPtr &Memory)
     : Io(Io), Config(Config), View(View), Server(Server),
       LocalDispatcher(LocalDispatcher), HeaderCodec(Codec), Events(Events),
-      Counters(Counters), PeerClient(Io, peerLimits(Config)),
+      Counters(Counters), PeerClient(Io, peerLimits(Config, Memory)),
       Picker(Config.Region, Config.DataCenter, seedOf(Config.Instance)),
       Budget(retryLimitsOf(Config)), Link(Config.LinkMbps * BytesPerMbit),
       Random(seedOf(Config.Instance + "/targets")) {}
--- a/mesh/RequestRouter.h
+++ b/mesh/RequestRouter.h
@@ -41,7 +41,7 @@
                 const MeshView &View, const LocalServer &Server,
                 BackendDispatcher &LocalDispatcher,
                 const RequestHeaderCodec &Codec, RouterEvents &Events,
-                MeshMetrics &Counters);
+                MeshMetrics &Counters, const MemoryBudgetPtr &Memory);
 
   /// Handles a request of a caller on this machine.
   HttpResponse serveCaller(HttpRequest &Request, CallerWatch &Watch,
--- a/net/Acceptor.cpp
+++ b/net/Acceptor.cpp
@@ -14,12 +14,17 @@
 constexpr int ListenBacklog = 1024;
 constexpr auto AcceptRetryDelay = std::chrono::milliseconds(50);
 
+/// Time for a connection that is being closed to end.
+constexpr auto CloseDelay = std::chrono::milliseconds(2);
+
 } // namespace
 
 Acceptor::Acceptor(asio::io_context &Io, std::size_t MaxConnections,
-                   ConnectionHandler OnConnection)
+                   ConnectionHandler OnConnection,
+                   std::function<void()> MakeRoom)
     : Io(Io), MaxConnections(MaxConnections),
-      OnConnection(std::move(OnConnection)), Listener(Io) {}
+      OnConnection(std::move(OnConnection)), MakeRoom(std::move(MakeRoom)),
+      Listener(Io) {}
 
 absl::Status Acceptor::listen(const Address &LocalEndpoint) {
   error_code Error;
@@ -90,10 +95,23 @@
       asio::detached);
 }
 
+void Acceptor::awaitRoom(const asio::yield_context &Yield) {
+  if (!this->MakeRoom) {
+    sleepFor(this->Io, AcceptRetryDelay, Yield);
+    return;
+  }
+  error_code Error;
+  this->Listener.async_wait(asio::socket_base::wait_read, Yield[Error]);
+  if (!Error && this->ConnectionCount >= this->MaxConnections) {
+    this->MakeRoom();
+    sleepFor(this->Io, CloseDelay, Yield);
+  }
+}
+
 void Acceptor::acceptLoop(const asio::yield_context &Yield) {
   while (this->Listener.is_open()) {
     if (this->ConnectionCount >= this->MaxConnections) {
-      sleepFor(this->Io, AcceptRetryDelay, Yield);
+      this->awaitRoom(Yield);
       continue;
     }
 
--- a/net/Acceptor.h
+++ b/net/Acceptor.h
@@ -18,8 +18,9 @@
       std::function<void(Socket Peer, const boost::asio::yield_context &Yield)>;
 
   /// At most \p MaxConnections are served at once; more wait to be accepted.
+  /// When one waits, \p MakeRoom is called if it is set, to close another.
   Acceptor(boost::asio::io_context &Io, std::size_t MaxConnections,
-           ConnectionHandler OnConnection);
+           ConnectionHandler OnConnection, std::function<void()> MakeRoom = {});
 
   Acceptor(const Acceptor &) = delete;
   Acceptor &operator=(const Acceptor &) = delete;
@@ -37,12 +38,14 @@
 private:
   void acceptLoop(const boost::asio::yield_context &Yield);
   void acceptPending();
+  void awaitRoom(const boost::asio::yield_context &Yield);
   void startSession(Socket Accepted);
   void runSession(Socket Peer, const boost::asio::yield_context &Yield);
 
   boost::asio::io_context &Io;
   std::size_t MaxConnections;
   ConnectionHandler OnConnection;
+  std::function<void()> MakeRoom;
   boost::asio::ip::tcp::acceptor Listener;
   std::size_t ConnectionCount = 0;
 };
--- /dev/null
+++ b/net/BudgetedRead.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "net/Http.h"
+#include "net/MemoryBudget.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace hemlockspar {
+
+/// The error of a transfer for which the budget is short.
+inline constexpr auto BudgetError = boost::asio::error::no_memory;
+
+/// Reads one message on Stream while its memory is reserved before it is kept:
+/// an announced length as a whole, a chunked body as it grows.
+template <bool IsRequest> class BudgetedRead {
+public:
+  using Parser = http::parser<IsRequest, http::string_body>;
+
+  /// \p MaxBodyBytes bounds a body of unknown length.
+  BudgetedRead(boost::beast::tcp_stream &Stream,
+               boost::beast::flat_buffer &Buffer,
+               MemoryBudget::Reservation &Held, std::uint64_t MaxBodyBytes)
+      : Stream(Stream), Buffer(Buffer), Held(Held), MaxBodyBytes(MaxBodyBytes) {
+  }
+
+  /// Reads the next part. Fails with BudgetError when the budget is short or
+  /// the reservation was dropped.
+  boost::system::error_code readSome(Parser &Into,
+                                     const boost::asio::yield_context &Yield) {
+    boost::system::error_code Error;
+    if (!this->Held.grow(this->neededBytes(Into), BootClock::now())) {
+      return BudgetError;
+    }
+
+    // Beast's own read operation continues until a part ends with a whole chunk
+    // header, so with tiny chunks it would read without a reservation.
+    if (this->NeedsInput || this->Buffer.size() == 0) {
+      Error = this->receive(Into, Yield);
+    }
+    if (!Error && !Into.is_done()) {
+      Into.eager(Into.is_header_done());
+      this->Buffer.consume(Into.put(this->Buffer.data(), Error));
+      this->NeedsInput = Error == http::error::need_more;
+      Error = this->NeedsInput ? boost::system::error_code() : Error;
+    }
+    this->Held.onProgress(BootClock::now());
+    return this->Held.isDropped() ? BudgetError : Error;
+  }
+
+private:
+  /// Granularity of the reservation of a large chunked body.
+  static constexpr std::uint64_t StepBytes = 64 << 10;
+
+  /// Number of bytes received at once.
+  static constexpr std::size_t ReceiveBytes = 4096;
+
+  boost::system::error_code receive(Parser &Into,
+                                    const boost::asio::yield_context &Yield) {
+    boost::system::error_code Error;
+    if (this->Buffer.size() + ReceiveBytes > this->Buffer.max_size()) {
+      return http::error::buffer_overflow;
+    }
+    this->Buffer.commit(this->Stream.async_read_some(
+        this->Buffer.prepare(ReceiveBytes), Yield[Error]));
+    if (Error != boost::asio::error::eof) {
+      return Error;
+    }
+    if (!Into.got_some()) {
+      return http::error::end_of_stream;
+    }
+    Error = {};
+    Into.put_eof(Error);
+    return Error;
+  }
+
+  std::uint64_t neededBytes(Parser &Into) {
+    std::uint64_t Unparsed = this->Buffer.capacity();
+    if (!Into.is_header_done()) {
+      return Unparsed;
+    }
+    if (auto Length = Into.content_length()) {
+      return Unparsed + *Length;
+    }
+
+    // A buffer that doubles would occupy up to twice its content. Memory that
+    // is allocated and not written is not resident, so the largest size is
+    // allocated at once.
+    std::string &Body = Into.get().body();
+    if (Body.size() < SmallMessageBytes / 2) {
+      return Unparsed + Body.capacity();
+    }
+    Body.reserve(this->MaxBodyBytes);
+    return Unparsed + (Body.size() / StepBytes + 2) * StepBytes;
+  }
+
+  boost::beast::tcp_stream &Stream;
+  boost::beast::flat_buffer &Buffer;
+  MemoryBudget::Reservation &Held;
+  std::uint64_t MaxBodyBytes;
+
+  /// What is in the buffer is not enough to parse on.
+  bool NeedsInput = false;
+};
+
+} // namespace hemlockspar
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "net/HttpClient.h"
 
 #include "core/EnumNames.h"
+#include "net/BudgetedRead.h"
 #include "net/Event.h"
 #include "net/Peek.h"
 
@@ -56,7 +57,11 @@
 }
 
 HttpClient::HttpClient(asio::io_context &Io, Limits Bounds)
-    : Io(Io), Bounds(std::move(Bounds)) {}
+    : Io(Io), Bounds(std::move(Bounds)) {
+  if (!this->Bounds.Memory) {
+    this->Bounds.Memory = std::make_shared<MemoryBudget>();
+  }
+}
 
 bool HttpClient::mayCarry(const Connection &Conn,
                           const ExchangeOptions &Options) {
@@ -116,8 +121,13 @@
 }
 
 void HttpClient::releaseConnection(const Address &Server, ConnectionPtr Conn) {
+  std::size_t Total = 0;
+  for (const auto &[Other, Idle] : this->IdleConnections) {
+    Total += Idle.size();
+  }
   std::vector<ConnectionPtr> &IdleToServer = this->IdleConnections[Server];
-  if (IdleToServer.size() < this->Bounds.MaxIdleConnections) {
+  if (IdleToServer.size() < this->Bounds.MaxIdleConnections &&
+      Total < this->Bounds.MaxTotalIdleConnections) {
     IdleToServer.push_back(std::move(Conn));
   }
 }
@@ -224,9 +234,17 @@
                                  const asio::yield_context &Yield) {
   error_code Error;
   std::uint64_t Counted = 0;
+  MemoryBudget::Reservation Held(this->Bounds.Memory, HolderKind::Response);
+  BudgetedRead<false> Reader(
+      Conn.Stream, Conn.Buffer, Held,
+      std::min(this->Bounds.MaxBodyBytes, this->Bounds.Memory->largeLimit()));
 
   while (!Error && !Parser.is_done()) {
-    http::async_read_some(Conn.Stream, Conn.Buffer, Parser, Yield[Error]);
+    Error = Reader.readSome(Parser, Yield);
+    if (!Held.isDroppable() && Parser.is_header_done()) {
+      // Until the first byte a server computes; from then on it must send.
+      Held.setDroppable([&Conn] { Conn.Stream.close(); }, BootClock::now());
+    }
     std::uint64_t Size = Parser.get().body().size();
     this->TotalBodyBytes += Size - Counted;
     Counted = Size;
--- a/net/HttpClient.h
+++ b/net/HttpClient.h
@@ -4,6 +4,7 @@
 #include "net/Address.h"
 #include "net/DeadPeerDetection.h"
 #include "net/Http.h"
+#include "net/MemoryBudget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -87,6 +88,12 @@
     /// response that would exceed it is broken off, unless it is small.
     std::uint64_t MaxTotalBodyBytes = 24 << 20;
 
+    /// Where the memory of responses is reserved, in addition; null for none.
+    MemoryBudgetPtr Memory;
+
+    /// Number of idle connections to all servers together.
+    std::size_t MaxTotalIdleConnections = 1024;
+
     /// Source IP address of connections; empty for any.
     std::string LocalHost;
 
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -1,11 +1,13 @@
 #include "net/HttpServer.h"
 
 #include "core/Log.h"
+#include "net/BudgetedRead.h"
 #include "net/Peek.h"
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace hemlockspar {
@@ -16,6 +18,9 @@
 namespace {
 
 constexpr std::size_t ReadChunkBytes = 4096;
+/// Retry-After in seconds of a request for which the memory is short: stalled
+/// transfers can be dropped after this time.
+constexpr char MemoryRetryAfter[] = "2";
 constexpr std::size_t MaxUnparsedBytes = 256 << 10;
 
 /// How long a draining server waits for the first request of a new connection:
@@ -30,6 +35,13 @@
                            "header too large",
                            "the header exceeds the size limit");
   }
+  if (Error == BudgetError) {
+    HttpResponse Refusal =
+        problemResponse(http::status::service_unavailable, "out of memory",
+                        "the memory for requests is in use");
+    Refusal.set(http::field::retry_after, MemoryRetryAfter);
+    return Refusal;
+  }
   if (Error == http::error::body_limit) {
     return problemResponse(http::status::payload_too_large, "body too large",
                            "the body exceeds the size limit");
@@ -62,10 +74,20 @@
 } // namespace
 
 struct HttpServer::Connection {
-  explicit Connection(asio::ip::tcp::socket Socket)
-      : Stream(std::move(Socket)) {}
+  Connection(asio::ip::tcp::socket Socket, const MemoryBudgetPtr &Memory)
+      : Stream(std::move(Socket)), Held(Memory, HolderKind::Connection) {}
 
   TcpStream Stream;
+  MemoryBudget::Reservation Held;
+
+  /// When bytes were last received or a response was last completed.
+  TimePoint LastProgress = BootClock::now();
+
+  /// A request is being served or its response is being sent.
+  bool Serving = false;
+
+  /// The connection is being closed in favour of a new one.
+  bool Displaced = false;
 
   /// The limit also bounds what precedes a part of a chunked body.
   boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
@@ -78,18 +100,25 @@
 };
 
 HttpServer::HttpServer(asio::io_context &Io, HttpLimits Limits,
-                       Handler OnRequest)
-    : Limits(Limits), OnRequest(std::move(OnRequest)),
-      ConnectionAcceptor(Io, Limits.MaxConnections,
-                         [this](asio::ip::tcp::socket Socket,
-                                const asio::yield_context &Yield) {
-                           this->serve(std::move(Socket), Yield);
-                         }),
+                       Handler OnRequest, MemoryBudgetPtr Memory)
+    : Limits(Limits),
+      Memory(Memory ? std::move(Memory) : std::make_shared<MemoryBudget>()),
+      OnRequest(std::move(OnRequest)),
+      ConnectionAcceptor(
+          Io, Limits.MaxConnections,
+          [this](asio::ip::tcp::socket Socket,
+                 const asio::yield_context &Yield) {
+            this->serve(std::move(Socket), Yield);
+          },
+          [this] { this->closeLeastActive(); }),
       FirstRequestTimer(Io) {}
 
 void HttpServer::serve(asio::ip::tcp::socket Socket,
                        const asio::yield_context &Yield) {
-  Connection Conn(std::move(Socket));
+  Connection Conn(std::move(Socket), this->Memory);
+  if (!Conn.Held.grow(ConnectionBytes, BootClock::now())) {
+    return;
+  }
   this->Connections.insert(&Conn);
 
   while (this->serveOne(Conn, Yield)) {
@@ -115,33 +144,19 @@
   }
 
   Conn.Busy = true;
-  http::request_parser<http::string_body> Parser;
-  Parser.header_limit(this->Limits.MaxHeaderBytes);
-  Parser.body_limit(this->Limits.MaxBodyBytes);
-
-  Conn.Stream.expires_after(this->Limits.ReadTimeout);
-  http::async_read(Conn.Stream, Conn.Buffer, Parser, Yield[Error]);
-
-  // The body of another coding could not be told from the next request.
-  if (!Error && !hasReadableBody(Parser.get())) {
-    Error = http::error::bad_transfer_encoding;
-  }
-
+  Conn.LastProgress = BootClock::now();
+  HttpRequest Request;
+  MemoryBudget::Reservation Held(this->Memory, HolderKind::Request);
+  Error = this->readRequest(Conn, Request, Held, Yield);
   if (Error) {
-    auto Response = errorResponseFor(Error);
-    if (Response) {
-      Response->set("Hemlockspar-Outcome", "not-run");
-      Response->keep_alive(false);
-      LogLine(LogLevel::Info, "net", "bad_request")
-          .with("error", Error.message());
-      this->send(Conn, *Response, Yield);
-    }
+    Held.release();
+    this->refuse(Conn, Error, Yield);
     return false;
   }
 
-  HttpRequest Request = Parser.release();
   bool KeepAlive = Request.keep_alive();
   ++this->ActiveRequests;
+  Conn.Serving = true;
   HttpResponse Response = this->handle(Conn, Request, Yield);
 
   Response.version(Request.version());
@@ -149,14 +164,64 @@
   if (Request.method() == http::verb::head) {
     Response.body().clear();
   }
+  Request.body() = std::string();
+  Held.release();
 
   bool Sent = this->send(Conn, Response, Yield);
   --this->ActiveRequests;
+  Conn.Serving = false;
   Conn.Busy = false;
   Conn.Used = true;
+  Conn.Displaced = false;
+  Conn.LastProgress = BootClock::now();
   return Sent && Response.keep_alive();
 }
 
+error_code HttpServer::readRequest(Connection &Conn, HttpRequest &Request,
+                                   MemoryBudget::Reservation &Held,
+                                   const asio::yield_context &Yield) {
+  http::request_parser<http::string_body> Parser;
+  Parser.header_limit(this->Limits.MaxHeaderBytes);
+  Parser.body_limit(this->Limits.MaxBodyBytes);
+  Conn.Stream.expires_after(this->Limits.ReadTimeout);
+  Held.setDroppable([&Conn] { Conn.Stream.cancel(); }, BootClock::now());
+
+  BudgetedRead<true> Reader(
+      Conn.Stream, Conn.Buffer, Held,
+      std::min(this->Limits.MaxBodyBytes, this->Memory->largeLimit()));
+  error_code Error;
+  while (!Error && !Parser.is_done()) {
+    Error = Reader.readSome(Parser, Yield);
+    Conn.LastProgress = BootClock::now();
+  }
+
+  // The body of another coding could not be told from the next request.
+  if (!Error && !hasReadableBody(Parser.get())) {
+    Error = http::error::bad_transfer_encoding;
+  }
+  Held.pin();
+  if (!Error) {
+    Request = Parser.release();
+  }
+  return Error;
+}
+
+void HttpServer::refuse(Connection &Conn, const error_code &Error,
+                        const asio::yield_context &Yield) {
+  auto Response = errorResponseFor(Error);
+  if (!Response) {
+    return;
+  }
+  Response->set("Hemlockspar-Outcome", "not-run");
+  Response->keep_alive(false);
+  if (auto Omitted = this->ErrorLog.admit(BootClock::now())) {
+    LogLine(LogLevel::Info, "net", "bad_request")
+        .with("error", Error.message())
+        .with("omitted", static_cast<long long>(*Omitted));
+  }
+  this->send(Conn, *Response, Yield);
+}
+
 HttpResponse HttpServer::handle(Connection &Conn, HttpRequest &Request,
                                 const asio::yield_context &Yield) {
   auto Watch = std::make_shared<CallerWatch>();
@@ -212,9 +277,34 @@
                       const asio::yield_context &Yield) {
   error_code Error;
   Response.prepare_payload();
+  MemoryBudget::Reservation Held(this->Memory, HolderKind::Response);
+  Held.setDroppable([&Conn] { Conn.Stream.close(); }, BootClock::now());
+  Held.charge(Response.body().size(), BootClock::now());
+
   Conn.Stream.expires_after(this->Limits.WriteTimeout);
-  http::async_write(Conn.Stream, Response, Yield[Error]);
-  return !Error;
+  http::response_serializer<http::string_body> Serializer(Response);
+  while (!Error && !Serializer.is_done()) {
+    http::async_write_some(Conn.Stream, Serializer, Yield[Error]);
+    Held.onProgress(BootClock::now());
+  }
+  return !Error && !Held.isDropped();
+}
+
+void HttpServer::closeLeastActive() {
+  Connection *Chosen = nullptr;
+  for (Connection *Conn : this->Connections) {
+    bool Closable = !Conn->Serving && !Conn->Displaced &&
+                    (Conn->Busy ||
+                     peek(Conn->Stream.socket()) != ConnectionState::Readable);
+    if (Closable && (!Chosen || Conn->LastProgress < Chosen->LastProgress)) {
+      Chosen = Conn;
+    }
+  }
+  if (Chosen) {
+    Chosen->Displaced = true;
+    ++this->Displaced;
+    Chosen->Stream.cancel();
+  }
 }
 
 void HttpServer::drain() {
--- a/net/HttpServer.h
+++ b/net/HttpServer.h
@@ -2,6 +2,8 @@
 
 #include "net/Acceptor.h"
 #include "net/Http.h"
+#include "net/LogLimiter.h"
+#include "net/MemoryBudget.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -21,7 +23,9 @@
       std::function<HttpResponse(HttpRequest &Request, CallerWatch &Watch,
                                  const boost::asio::yield_context &Yield)>;
 
-  HttpServer(boost::asio::io_context &Io, HttpLimits Limits, Handler OnRequest);
+  /// What connections hold is reserved in \p Memory, if set.
+  HttpServer(boost::asio::io_context &Io, HttpLimits Limits, Handler OnRequest,
+             MemoryBudgetPtr Memory = nullptr);
 
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
@@ -51,6 +55,9 @@
   /// that has carried no request yet may send its first one for a short time.
   void drain();
 
+  /// Number of connections closed in favour of new ones.
+  std::uint64_t displacedCount() const { return this->Displaced; }
+
   /// Number of open connections.
   std::size_t connectionCount() const { return this->Connections.size(); }
 
@@ -60,6 +67,13 @@
 
   void serve(boost::asio::ip::tcp::socket Socket,
              const boost::asio::yield_context &Yield);
+  boost::system::error_code
+  readRequest(Connection &Conn, HttpRequest &Request,
+              MemoryBudget::Reservation &Held,
+              const boost::asio::yield_context &Yield);
+  void refuse(Connection &Conn, const boost::system::error_code &Error,
+              const boost::asio::yield_context &Yield);
+  void closeLeastActive();
   bool serveOne(Connection &Conn, const boost::asio::yield_context &Yield);
   HttpResponse handle(Connection &Conn, HttpRequest &Request,
                       const boost::asio::yield_context &Yield);
@@ -68,6 +82,10 @@
             const boost::asio::yield_context &Yield);
 
   HttpLimits Limits;
+
+  MemoryBudgetPtr Memory;
+  LogLimiter ErrorLog;
+  std::uint64_t Displaced = 0;
   Handler OnRequest;
   Acceptor ConnectionAcceptor;
   boost::asio::steady_timer FirstRequestTimer;
