--- a/mesh/MeshMetrics.h
+++ b/mesh/MeshMetrics.h
@@ -2,6 +2,7 @@
 
 #include "daemon/RequestResult.h"
 #include "mesh/Attempt.h"
+#include "net/MemoryBudget.h"
 
 #include <memory>
 #include <prometheus/counter.h>
@@ -46,6 +47,10 @@
   void setLoad(const ServerLoad &Load);
   void setConfiguration(std::uint64_t Version);
   void setInstances(std::size_t Count);
+  void setMemory(const MemoryBudget &Memory);
+
+  /// Number of connections of \p Listener closed in favour of new ones.
+  void setDisplaced(const std::string &Listener, std::uint64_t Count);
 
   /// Returns the metrics in the Prometheus exposition format.
   std::string toText() const;
@@ -64,6 +69,10 @@
   prometheus::Gauge &LinkBacklog;
   prometheus::Counter &LinkRefusals;
   prometheus::Histogram &LinkWaitSeconds;
+  prometheus::Family<prometheus::Gauge> &HeldBytes;
+  prometheus::Family<prometheus::Counter> &MemoryRefusals;
+  prometheus::Family<prometheus::Counter> &MemoryDrops;
+  prometheus::Family<prometheus::Counter> &Displaced;
 };
 
 } // namespace hemlockspar
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include "net/Peek.h"
 #include "net/ReadRequest.h"
 
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace hemlockspar {
@@ -22,10 +23,20 @@
 } // namespace
 
 struct HttpServer::Connection {
-  explicit Connection(asio::ip::tcp::socket Socket)
-      : Stream(std::move(Socket)) {}
+  Connection(asio::ip::tcp::socket Socket, const MemoryBudgetPtr &Memory)
+      : Stream(std::move(Socket)), Held(Memory, HolderKind::Connection) {}
 
   TcpStream Stream;
+  MemoryBudget::Reservation Held;
+
+  /// When bytes were last received or a response was last completed.
+  TimePoint LastProgress = BootClock::now();
+
+  /// A request is being served or its response is being sent.
+  bool Serving = false;
+
+  /// The connection is being closed in favour of a new one.
+  bool Displaced = false;
   boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
   bool Busy = false;
 
@@ -36,23 +47,30 @@
 };
 
 HttpServer::HttpServer(asio::io_context &Io, HttpLimits Limits,
-                       Handler OnRequest,
+                       Handler OnRequest, MemoryBudgetPtr Memory,
                        std::optional<PipelineLimits> ReadAhead)
-    : Limits(Limits), ReadAhead(ReadAhead), OnRequest(std::move(OnRequest)),
-      ConnectionAcceptor(Io, Limits.MaxConnections,
-                         [this](asio::ip::tcp::socket Socket,
-                                const asio::yield_context &Yield) {
-                           if (this->ReadAhead) {
-                             this->servePipelined(std::move(Socket), Yield);
-                           } else {
-                             this->serve(std::move(Socket), Yield);
-                           }
-                         }),
+    : Limits(Limits),
+      Memory(Memory ? std::move(Memory) : std::make_shared<MemoryBudget>()),
+      ReadAhead(ReadAhead), OnRequest(std::move(OnRequest)),
+      ConnectionAcceptor(
+          Io, Limits.MaxConnections,
+          [this](asio::ip::tcp::socket Socket,
+                 const asio::yield_context &Yield) {
+            if (this->ReadAhead) {
+              this->servePipelined(std::move(Socket), Yield);
+            } else {
+              this->serve(std::move(Socket), Yield);
+            }
+          },
+          [this] { this->closeLeastActive(); }),
       FirstRequestTimer(Io) {}
 
 void HttpServer::serve(asio::ip::tcp::socket Socket,
                        const asio::yield_context &Yield) {
-  Connection Conn(std::move(Socket));
+  Connection Conn(std::move(Socket), this->Memory);
+  if (!Conn.Held.grow(ConnectionBytes, BootClock::now())) {
+    return;
+  }
   this->Connections.insert(&Conn);
 
   while (this->serveOne(Conn, Yield)) {
@@ -65,9 +83,13 @@
 
 void HttpServer::servePipelined(asio::ip::tcp::socket Socket,
                                 const asio::yield_context &Yield) {
+  MemoryBudget::Reservation Held(this->Memory, HolderKind::Connection);
+  if (!Held.grow(ConnectionBytes, BootClock::now())) {
+    return;
+  }
   Host &Self = *this;
-  auto Conn = std::make_shared<PipelinedConnection>(Self, *this->ReadAhead,
-                                                    std::move(Socket));
+  auto Conn = std::make_shared<PipelinedConnection>(
+      Self, *this->ReadAhead, std::move(Socket), this->Memory);
   this->PipelinedConnections.insert(Conn.get());
   Conn->serve(Yield);
   this->PipelinedConnections.erase(Conn.get());
@@ -91,13 +113,21 @@
   }
 
   Conn.Busy = true;
+  Conn.LastProgress = BootClock::now();
   Conn.Stream.expires_after(this->Limits.ReadTimeout);
-  ReadResult Result =
-      readRequest(Conn.Buffer, this->Limits,
-                  [&](asio::mutable_buffer Space, error_code &ReadError) {
-                    return Conn.Stream.async_read_some(Space, Yield[ReadError]);
-                  });
+  MemoryBudget::Reservation Held(this->Memory, HolderKind::Request);
+  Held.setDroppable([&Conn] { Conn.Stream.cancel(); }, BootClock::now());
+  ReadResult Result = readRequest(
+      Conn.Buffer, this->Limits,
+      [&](asio::mutable_buffer Space, error_code &ReadError) {
+        std::size_t Count =
+            Conn.Stream.async_read_some(Space, Yield[ReadError]);
+        Conn.LastProgress = BootClock::now();
+        return Count;
+      },
+      Held, this->Memory->largeLimit());
   if (Result.Error) {
+    Held.release();
     auto Response = errorResponseFor(Result.Error);
     if (Response) {
       this->send(Conn, *Response, Yield);
@@ -108,6 +138,7 @@
   HttpRequest &Request = Result.Request;
   bool KeepAlive = Request.keep_alive();
   ++this->ActiveRequests;
+  Conn.Serving = true;
   HttpResponse Response = this->handle(Conn, Request, Yield);
 
   Response.version(Request.version());
@@ -115,11 +146,16 @@
   if (Request.method() == http::verb::head) {
     Response.body().clear();
   }
+  Request.body() = std::string();
+  Held.release();
 
   bool Sent = this->send(Conn, Response, Yield);
   --this->ActiveRequests;
+  Conn.Serving = false;
   Conn.Busy = false;
   Conn.Used = true;
+  Conn.Displaced = false;
+  Conn.LastProgress = BootClock::now();
   return Sent && Response.keep_alive();
 }
 
@@ -180,9 +216,46 @@
                       const asio::yield_context &Yield) {
   error_code Error;
   Response.prepare_payload();
+  MemoryBudget::Reservation Held(this->Memory, HolderKind::Response);
+  Held.setDroppable([&Conn] { Conn.Stream.close(); }, BootClock::now());
+  Held.charge(Response.body().size(), BootClock::now());
+
   Conn.Stream.expires_after(this->Limits.WriteTimeout);
-  http::async_write(Conn.Stream, Response, Yield[Error]);
-  return !Error;
+  http::response_serializer<http::string_body> Serializer(Response);
+  while (!Error && !Serializer.is_done()) {
+    http::async_write_some(Conn.Stream, Serializer, Yield[Error]);
+    Held.onProgress(BootClock::now());
+  }
+  return !Error && !Held.isDropped();
+}
+
+void HttpServer::closeLeastActive() {
+  Connection *Chosen = nullptr;
+  for (Connection *Conn : this->Connections) {
+    bool Closable = !Conn->Serving && !Conn->Displaced &&
+                    (Conn->Busy ||
+                     peek(Conn->Stream.socket()) != ConnectionState::Readable);
+    if (Closable && (!Chosen || Conn->LastProgress < Chosen->LastProgress)) {
+      Chosen = Conn;
+    }
+  }
+  PipelinedConnection *Pipelined = nullptr;
+  for (PipelinedConnection *Conn : this->PipelinedConnections) {
+    bool Older = !Pipelined || Conn->lastProgress() < Pipelined->lastProgress();
+    if (Older && Conn->isDisplaceable()) {
+      Pipelined = Conn;
+    }
+  }
+
+  // A server has connections of one kind only.
+  if (Chosen) {
+    Chosen->Displaced = true;
+    Chosen->Stream.cancel();
+  }
+  if (Pipelined) {
+    Pipelined->displace();
+  }
+  this->Displaced += Chosen || Pipelined ? 1 : 0;
 }
 
 void HttpServer::drain() {
--- a/net/HttpServer.h
+++ b/net/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "net/Acceptor.h"
 #include "net/Http.h"
+#include "net/MemoryBudget.h"
 #include "net/PipelinedConnection.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -25,7 +26,9 @@
   /// With \p ReadAhead, requests are read before those ahead of them are
   /// answered, and requests that are safe to abandon run side by side. Each of
   /// them then runs in a coroutine of its own.
+  /// What connections hold is reserved in \p Memory, if set.
   HttpServer(boost::asio::io_context &Io, HttpLimits Limits, Handler OnRequest,
+             MemoryBudgetPtr Memory = nullptr,
              std::optional<PipelineLimits> ReadAhead = std::nullopt);
 
   HttpServer(const HttpServer &) = delete;
@@ -56,6 +59,9 @@
   /// that has carried no request yet may send its first one for a short time.
   void drain();
 
+  /// Number of connections closed in favour of new ones.
+  std::uint64_t displacedCount() const { return this->Displaced; }
+
   /// Number of open connections.
   std::size_t connectionCount() const {
     return this->Connections.size() + this->PipelinedConnections.size();
@@ -69,6 +75,7 @@
              const boost::asio::yield_context &Yield);
   void servePipelined(boost::asio::ip::tcp::socket Socket,
                       const boost::asio::yield_context &Yield);
+  void closeLeastActive();
   bool serveOne(Connection &Conn, const boost::asio::yield_context &Yield);
   HttpResponse handle(Connection &Conn, HttpRequest &Request,
                       const boost::asio::yield_context &Yield);
@@ -87,7 +94,9 @@
   void onRequestEnded() override { --this->ActiveRequests; }
 
   HttpLimits Limits;
+  MemoryBudgetPtr Memory;
   std::optional<PipelineLimits> ReadAhead;
+  std::uint64_t Displaced = 0;
   Handler OnRequest;
   Acceptor ConnectionAcceptor;
   boost::asio::steady_timer FirstRequestTimer;
--- a/net/PipelinedConnection.cpp
+++ b/net/PipelinedConnection.cpp
@@ -42,16 +42,29 @@
 
 PipelinedConnection::PipelinedConnection(Host &Server,
                                          const PipelineLimits &Limits,
-                                         asio::ip::tcp::socket Socket)
-    : Server(Server), Queue(Limits), Stream(std::move(Socket)),
-      Buffer(MaxUnparsedBytes), Changed(Stream.get_executor()),
-      ReadTimer(Stream.get_executor()) {}
+                                         asio::ip::tcp::socket Socket,
+                                         MemoryBudgetPtr Memory)
+    : Server(Server), Memory(std::move(Memory)), Queue(Limits),
+      Stream(std::move(Socket)), Buffer(MaxUnparsedBytes),
+      Changed(Stream.get_executor()), ReadTimer(Stream.get_executor()) {}
 
 bool PipelinedConnection::isIdle() const {
   return this->Queue.isEmpty() && !this->Queue.hasReadingEnded() &&
          !this->ReadingRequest && this->Buffer.size() == 0;
 }
 
+bool PipelinedConnection::isDisplaceable() {
+  bool Unserved = this->Queue.isEmpty() && this->RunningCount == 0 &&
+                  !this->Writing && !this->Displaced && !this->Disconnected;
+  return Unserved && (this->ReadingRequest ||
+                      peek(this->Stream.socket()) != ConnectionState::Readable);
+}
+
+void PipelinedConnection::displace() {
+  this->Displaced = true;
+  this->ReadCancellation.emit(asio::cancellation_type::terminal);
+}
+
 void PipelinedConnection::serve(const asio::yield_context &Yield) {
   while (this->readNext(Yield)) {
   }
@@ -75,12 +88,21 @@
   this->ReadingRequest = true;
   Clock::time_point Until = Clock::now() + this->Server.limits().ReadTimeout;
   std::size_t Pending = this->Buffer.size();
-  ReadResult Result =
-      readRequest(this->Buffer, this->Server.limits(),
-                  [&](asio::mutable_buffer Space, error_code &Error) {
-                    return this->fill(Space, Until, Pending, Error, Yield);
-                  });
+  auto Held = std::make_unique<MemoryBudget::Reservation>(this->Memory,
+                                                          HolderKind::Request);
+  Held->setDroppable(
+      [this] {
+        this->ReadCancellation.emit(asio::cancellation_type::terminal);
+      },
+      BootClock::now());
+  ReadResult Result = readRequest(
+      this->Buffer, this->Server.limits(),
+      [&](asio::mutable_buffer Space, error_code &Error) {
+        return this->fill(Space, Until, Pending, Error, Yield);
+      },
+      *Held, this->Memory->largeLimit());
   if (Result.Error) {
+    Held.reset();
     auto Response = errorResponseFor(Result.Error);
     if (Response && this->awaitAdding(Yield)) {
       this->addRefusal(std::move(*Response));
@@ -94,7 +116,7 @@
   if (!this->awaitAdding(Yield)) {
     return false;
   }
-  this->addRequest(std::move(Result.Request), Result.Bytes);
+  this->addRequest(std::move(Result.Request), Result.Bytes, std::move(Held));
   this->ReadingRequest = false;
   return true;
 }
@@ -148,6 +170,7 @@
       Space, asio::bind_cancellation_slot(this->ReadCancellation.slot(),
                                           Yield[Error]));
   ++this->ReadNumber;
+  this->LastProgress = BootClock::now();
   this->ReadTimer.cancel();
   if (Error == asio::error::operation_aborted && this->ReadTimedOut) {
     Error = boost::beast::error::timeout;
@@ -194,10 +217,12 @@
   return false;
 }
 
-void PipelinedConnection::addRequest(HttpRequest Request, std::size_t Bytes) {
+void PipelinedConnection::addRequest(HttpRequest Request, std::size_t Bytes,
+                                     ReservationPtr Held) {
   bool KeepAlive = Request.keep_alive();
   PipelineNumber Number = this->Queue.add(kindOf(Request), Bytes);
   this->Exchanges[Number].Request = std::move(Request);
+  this->Exchanges[Number].RequestHeld = std::move(Held);
   if (!KeepAlive) {
     this->Queue.endReading();
   }
@@ -242,6 +267,14 @@
   Watch->IsConnectionClosed = nullptr;
   Current.Watch = nullptr;
 
+  // The request has been answered; the response is there already, so its memory
+  // can't be refused any more.
+  Current.Request.body() = std::string();
+  Current.RequestHeld.reset();
+  Current.ResponseHeld = std::make_unique<MemoryBudget::Reservation>(
+      this->Memory, HolderKind::Response);
+  Current.ResponseHeld->charge(Current.Response.body().size(),
+                               BootClock::now());
   Current.Response.version(Current.Request.version());
   if (Current.Request.method() == http::verb::head) {
     Current.Response.body().clear();
@@ -268,16 +301,33 @@
   }
 
   this->Writing = true;
-  HttpResponse &Response = this->Exchanges[Next->Number].Response;
-  Response.keep_alive(!Next->Closes);
-  Response.prepare_payload();
+  Exchange &Current = this->Exchanges[Next->Number];
+  Current.Response.keep_alive(!Next->Closes);
+  Current.Response.prepare_payload();
+  if (Current.ResponseHeld) {
+    Current.ResponseHeld->setDroppable([this] { this->Stream.close(); },
+                                       BootClock::now());
+  }
   this->Stream.expires_after(this->Server.limits().WriteTimeout);
-  http::async_write(this->Stream, Response,
-                    [Self = this->shared_from_this(),
-                     Written = *Next](const error_code &Error, std::size_t) {
-                      Self->onWritten(Written.Number, Written.Closes,
-                                      bool(Error));
-                    });
+  this->Serializer.emplace(Current.Response);
+  this->writeSome(Next->Number, Next->Closes);
+}
+
+void PipelinedConnection::writeSome(PipelineNumber Number, bool Closes) {
+  http::async_write_some(this->Stream, *this->Serializer,
+                         [Self = this->shared_from_this(), Number,
+                          Closes](const error_code &Error, std::size_t) {
+                           Exchange &Current = Self->Exchanges[Number];
+                           if (Current.ResponseHeld) {
+                             Current.ResponseHeld->onProgress(BootClock::now());
+                           }
+                           if (!Error && !Self->Serializer->is_done()) {
+                             Self->writeSome(Number, Closes);
+                             return;
+                           }
+                           Self->Serializer.reset();
+                           Self->onWritten(Number, Closes, bool(Error));
+                         });
 }
 
 void PipelinedConnection::onWritten(PipelineNumber Number, bool Closes,
@@ -289,6 +339,7 @@
     return;
   }
 
+  this->LastProgress = BootClock::now();
   this->Queue.onWritten();
   this->Exchanges.erase(Number);
   this->Server.onRequestEnded();
--- a/net/PipelinedConnection.h
+++ b/net/PipelinedConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/Http.h"
+#include "net/MemoryBudget.h"
 #include "net/PipelineQueue.h"
 
 #include <boost/asio/cancellation_signal.hpp>
@@ -8,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <map>
 #include <memory>
 
@@ -44,7 +46,8 @@
   };
 
   PipelinedConnection(Host &Server, const PipelineLimits &Limits,
-                      boost::asio::ip::tcp::socket Socket);
+                      boost::asio::ip::tcp::socket Socket,
+                      MemoryBudgetPtr Memory);
 
   PipelinedConnection(const PipelinedConnection &) = delete;
   PipelinedConnection &operator=(const PipelinedConnection &) = delete;
@@ -58,6 +61,16 @@
   /// Whether a request has been answered.
   bool isUsed() const { return this->Used; }
 
+  /// Whether no request is served or answered, and none that has arrived is
+  /// unread: the connection may be closed in favour of another.
+  bool isDisplaceable();
+
+  /// When bytes were last received or a response was last completed.
+  TimePoint lastProgress() const { return this->LastProgress; }
+
+  /// Closes the connection in favour of another.
+  void displace();
+
   boost::asio::ip::tcp::socket &socket() { return this->Stream.socket(); }
 
   /// Ends an idle connection.
@@ -70,7 +83,12 @@
     HttpRequest Request;
     HttpResponse Response;
     std::shared_ptr<CallerWatch> Watch;
+
+    /// The memory of the request and of the response.
+    std::unique_ptr<MemoryBudget::Reservation> RequestHeld;
+    std::unique_ptr<MemoryBudget::Reservation> ResponseHeld;
   };
+  using ReservationPtr = std::unique_ptr<MemoryBudget::Reservation>;
 
   bool readNext(const boost::asio::yield_context &Yield);
   bool awaitFirstByte(const boost::asio::yield_context &Yield);
@@ -86,12 +104,13 @@
                       const boost::asio::yield_context &Yield);
   bool awaitPermission(const std::function<bool()> &IsPermitted,
                        const boost::asio::yield_context &Yield);
-  void addRequest(HttpRequest Request, std::size_t Bytes);
+  void addRequest(HttpRequest Request, std::size_t Bytes, ReservationPtr Held);
   void addRefusal(HttpResponse Response);
 
   void startRequests();
   void run(PipelineNumber Number, const boost::asio::yield_context &Yield);
   void writeNext();
+  void writeSome(PipelineNumber Number, bool Closes);
   void onWritten(PipelineNumber Number, bool Closes, bool Failed);
 
   void awaitChange(const boost::asio::yield_context &Yield);
@@ -100,6 +119,7 @@
   void discardInput(const boost::asio::yield_context &Yield);
 
   Host &Server;
+  MemoryBudgetPtr Memory;
   PipelineQueue Queue;
   boost::beast::tcp_stream Stream;
   boost::beast::flat_buffer Buffer;
@@ -108,7 +128,10 @@
   std::map<PipelineNumber, Exchange> Exchanges;
   std::size_t RunningCount = 0;
   bool Writing = false;
+  std::optional<http::response_serializer<http::string_body>> Serializer;
   bool Used = false;
+  bool Displaced = false;
+  TimePoint LastProgress = BootClock::now();
   bool Disconnected = false;
   bool ReadingRequest = false;
 
--- a/net/ReadRequest.cpp
+++ b/net/ReadRequest.cpp
@@ -1,6 +1,8 @@
 #include "net/ReadRequest.h"
 
 #include "core/Log.h"
+#include "net/BudgetedRead.h"
+#include "net/LogLimiter.h"
 
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
@@ -16,7 +18,11 @@
 
 namespace {
 
-constexpr std::size_t MaxReadBytes = 64 << 10;
+constexpr std::size_t MaxReadBytes = 16 << 10;
+
+/// Retry-After in seconds of a request for which the memory is short: stalled
+/// transfers can be dropped after this time.
+constexpr char MemoryRetryAfter[] = "2";
 
 using RequestParser = http::request_parser<http::string_body>;
 
@@ -54,6 +60,13 @@
                            "header too large",
                            "the header exceeds the size limit");
   }
+  if (Error == BudgetError) {
+    HttpResponse Refusal =
+        problemResponse(http::status::service_unavailable, "out of memory",
+                        "the memory for requests is in use");
+    Refusal.set(http::field::retry_after, MemoryRetryAfter);
+    return Refusal;
+  }
   if (Error == http::error::body_limit) {
     return problemResponse(http::status::payload_too_large, "body too large",
                            "the body exceeds the size limit");
@@ -77,14 +90,22 @@
 } // namespace
 
 ReadResult readRequest(boost::beast::flat_buffer &Buffer,
-                       const HttpLimits &Limits, const FillFunction &Fill) {
+                       const HttpLimits &Limits, const FillFunction &Fill,
+                       MemoryBudget::Reservation &Held,
+                       std::uint64_t LargestBody) {
   ReadResult Result;
+  LargestBody = std::min(LargestBody, Limits.MaxBodyBytes);
   RequestParser Parser;
   Parser.header_limit(Limits.MaxHeaderBytes);
   Parser.body_limit(Limits.MaxBodyBytes);
   Parser.eager(true);
 
   while (!Parser.is_done() && !Result.Error) {
+    if (!Held.grow(neededBytes(Parser, Buffer, LargestBody),
+                   BootClock::now())) {
+      Result.Error = BudgetError;
+      break;
+    }
     bool NeedsMore = Buffer.size() == 0;
     if (!NeedsMore) {
       std::size_t Used = Parser.put(Buffer.data(), Result.Error);
@@ -95,8 +116,13 @@
     if (NeedsMore) {
       Result.Error = {};
       fillBuffer(Buffer, Parser, Fill, Result.Error);
+      Held.onProgress(BootClock::now());
+    }
+    if (Held.isDropped()) {
+      Result.Error = BudgetError;
     }
   }
+  Held.pin();
 
   // The body of another coding could not be told from the next request.
   if (!Result.Error && !hasReadableBody(Parser.get())) {
@@ -113,8 +139,12 @@
   if (Response) {
     Response->set("Hemlockspar-Outcome", "not-run");
     Response->keep_alive(false);
-    LogLine(LogLevel::Info, "net", "bad_request")
-        .with("error", Error.message());
+    static LogLimiter Limiter;
+    if (auto Omitted = Limiter.admit(BootClock::now())) {
+      LogLine(LogLevel::Info, "net", "bad_request")
+          .with("error", Error.message())
+          .with("omitted", static_cast<long long>(*Omitted));
+    }
   }
   return Response;
 }
--- a/net/ReadRequest.h
+++ b/net/ReadRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/Http.h"
+#include "net/MemoryBudget.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -27,8 +28,13 @@
 
 /// Reads one request. \p Buffer has what was received before, and keeps what
 /// was received after the request. \p Fill is called whenever more is needed.
+/// What is kept is reserved in \p Held before; the error is BudgetError when
+/// the budget is short or the reservation is dropped. \p LargestBody bounds a
+/// body of unknown length.
 ReadResult readRequest(boost::beast::flat_buffer &Buffer,
-                       const HttpLimits &Limits, const FillFunction &Fill);
+                       const HttpLimits &Limits, const FillFunction &Fill,
+                       MemoryBudget::Reservation &Held,
+                       std::uint64_t LargestBody);
 
 /// Response to a request that could not be read, which closes the connection;
 /// std::nullopt when the connection just ended. Logs the error.
--- a/tests/mesh/placement/ColdStartLimiterTest.cpp
+++ b/tests/mesh/placement/ColdStartLimiterTest.cpp
@@ -30,8 +30,8 @@
     std::size_t Most = 0;
     for (auto First = this->SentAt.begin(); First != this->SentAt.end();
          ++First) {
-      auto End = std::lower_bound(First, this->SentAt.end(),
-                                  *First + seconds(1));
+      auto End =
+          std::lower_bound(First, this->SentAt.end(), *First + seconds(1));
       if (*First >= From) {
         Most = std::max(Most, static_cast<std::size_t>(End - First));
       }
--- a/tests/net/PipelineFixture.h
+++ b/tests/net/PipelineFixture.h
@@ -26,7 +26,7 @@
                    const boost::asio::yield_context &Yield) {
               return this->serve(Request, Watch, Yield);
             },
-            ReadAhead),
+            nullptr, ReadAhead),
         Caller(this->Io) {
     this->Listening = this->Server.listen({"127.0.0.1", 0}).ok();
     boost::system::error_code Error;
--- a/tests/platform/HttpHeaderCodecTest.cpp
+++ b/tests/platform/HttpHeaderCodecTest.cpp
@@ -66,7 +66,8 @@
     return HttpHeaderCodec().readAnswer(Response).Pace;
   };
   cr_assert(PaceOf("3,0,8,250") == 2.5);
-  for (const char *Odd : {"3,0,8", "", "3,0,8,", "3,0,8,x", "3,0,8,inf", ",,,nan"}) {
+  for (const char *Odd :
+       {"3,0,8", "", "3,0,8,", "3,0,8,x", "3,0,8,inf", ",,,nan"}) {
     cr_assert(!PaceOf(Odd), "%s", Odd);
   }
 }
