--- a/tests/mesh/links/ResponseAdmissionTest.cpp
+++ b/tests/mesh/links/ResponseAdmissionTest.cpp
@@ -64,16 +64,16 @@
 Test(ResponseAdmission, PassedObjective) {
   AdmissionFixture Fixture;
   cr_assert(Fixture.decide("r-files", 1, milliseconds(-50)).Admitted);
-  auto Few = Fixture.Admission.reserve(1, 9 * 70000);
+  auto Few = Fixture.Admission.reserve(1, 9 * 70000UL);
   cr_assert(Fixture.decide("r-files", 1, milliseconds(-50)).Admitted);
-  auto More = Fixture.Admission.reserve(1, 2 * 70000);
+  auto More = Fixture.Admission.reserve(1, 2 * 70000UL);
   cr_assert(!Fixture.decide("r-files", 1, milliseconds(-50)).Admitted);
 }
 
 /// What leaves while the request runs delays nothing.
 Test(ResponseAdmission, BacklogWithinTheRunTime) {
   AdmissionFixture Fixture;
-  auto Place = Fixture.Admission.reserve(1, 2 * 70000);
+  auto Place = Fixture.Admission.reserve(1, 2 * 70000UL);
   cr_assert(Fixture.decide("r-files", 1, milliseconds(300)).Admitted);
   cr_assert(Fixture.decide("r-files", 1, milliseconds(250)).Admitted);
 }
