--- a/tests/mesh/ClientLoad.h
+++ b/tests/mesh/ClientLoad.h
@@ -11,7 +11,7 @@
 
 /// One connection of a client that is not under control: it sends what it
 /// likes, reads nothing unless told to, and leaves the connection open. Uses
-/// blocking calls with a time limit.
+/// blocking calls with a timeout.
 class RawClient {
 public:
   /// \p ReceiveBufferBytes limits what the kernel accepts for this client; 0
--- a/tests/net/PipelineTest.cpp
+++ b/tests/net/PipelineTest.cpp
@@ -319,7 +319,7 @@
   cr_assert(Test.ends());
 }
 
-/// The time limit for idle connections must not end one whose request runs, and
+/// The idle timeout of connections must not end one whose request runs, and
 /// must end it afterwards.
 Test(Pipeline, IdleTimeoutCountsFromTheLastResponse) {
   HttpLimits Limits;
