mesh: tell late configurations and floods of cold servers apart in logs

- A 404 says how long ago the store last confirmed the operators' rows (confirmed_ms): long for a wait that is never answered, short for a version that was read and not put in force.
Metric: hemlockspar_configuration_age_seconds.
- store operator_rows says how long the wait had been open.
- gate cold_begun and cold_ended say when the limit learns of a cold, what was sent before and what waits; gate cold_limit_exceeded names a request that is sent beyond the limit.

No decision changes.

--- a/mesh/BackendDispatcher.cpp
+++ b/mesh/BackendDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "mesh/BackendDispatcher.h"
 
 #include "core/ErrorMacros.h"
+#include "core/Log.h"
 #include "net/Event.h"
 
 #include <algorithm>
@@ -279,7 +280,32 @@
   this->ColdStart.setTolerated(Declared == Active->Services.end()
                                    ? 0
                                    : Declared->second.ColdRequestsPerSecond);
+  TimePoint Now = BootClock::now();
+  bool WasCold = this->ColdStart.coldLeft(Now) > Duration::zero();
   this->ColdStart.setColdUntil(this->Server.coldUntil());
+  Duration ColdLeft = this->ColdStart.coldLeft(Now);
+  if (WasCold != (ColdLeft > Duration::zero())) {
+    LogLine(LogLevel::Info, "gate", WasCold ? "cold_ended" : "cold_begun")
+        .with("cold_ms", toMilliseconds(ColdLeft))
+        .with("tolerated", static_cast<long long>(this->ColdStart.tolerated()))
+        .with("sent", static_cast<long long>(this->ColdStart.sentLately(Now)))
+        .with("waiting", static_cast<long long>(this->Queue.waiting()));
+  }
+}
+
+void BackendDispatcher::logColdExcess(const AttemptContext &Context,
+                                      TimePoint Now) const {
+  TimePoint ColdUntil = this->Server.coldUntil();
+  std::size_t Sent = this->ColdStart.sentLately(Now);
+  bool Exceeds = ColdUntil > Now && this->ColdStart.tolerated() > 0 &&
+                 static_cast<double>(Sent) > this->ColdStart.tolerated();
+  if (Exceeds) {
+    LogLine(LogLevel::Warning, "gate", "cold_limit_exceeded")
+        .with("request", Context.RequestId)
+        .with("sent", static_cast<long long>(Sent))
+        .with("tolerated", static_cast<long long>(this->ColdStart.tolerated()))
+        .with("cold_ms", toMilliseconds(ColdUntil - Now));
+  }
 }
 
 AttemptResult BackendDispatcher::serveAdmitted(
@@ -288,6 +314,7 @@
   TimePoint DispatchedAt = BootClock::now();
   double PaceBefore = this->Pace.factor(DispatchedAt);
   this->ColdStart.onSent(Context.Rank, DispatchedAt);
+  this->logColdExcess(Context, DispatchedAt);
   AttemptResult Result = this->dispatch(Request, Context, Watch, Yield);
   TimePoint Now = BootClock::now();
 
--- a/mesh/BackendDispatcher.h
+++ b/mesh/BackendDispatcher.h
@@ -67,6 +67,7 @@
   AdmissionInputs admissionInputs(const AttemptContext &Context,
                                   TimePoint Now) const;
   void updateColdStart(const std::string &Service);
+  void logColdExcess(const AttemptContext &Context, TimePoint Now) const;
   AttemptResult refusal(AttemptReason Reason, Duration Wait,
                         const AttemptContext &Context) const;
   AttemptResult busy(const AdmissionInputs &Inputs,
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -440,6 +440,9 @@
   this->Counters.setLoad(this->Dispatcher.load());
   this->Counters.setLinkBacklog(this->Router.linkBacklog());
   this->Counters.setConfiguration(Active ? Active->Version : 0);
+  if (auto Age = this->View.operatorFreshness().age(BootClock::now())) {
+    this->Counters.setConfigurationAge(*Age);
+  }
   this->Counters.setInstances(this->View.instances().size());
   this->Counters.setMemory(*this->Memory);
   this->Counters.setDisplaced("callers", this->CallerServer.displacedCount());
--- a/mesh/MeshMetrics.cpp
+++ b/mesh/MeshMetrics.cpp
@@ -74,6 +74,9 @@
                     "requests waiting for a slot")),
       Configuration(gauge(*Registry, "hemlockspar_configuration_version",
                           "version of the active configuration")),
+      ConfigurationAge(gauge(*Registry, "hemlockspar_configuration_age_seconds",
+                             "time since the store last confirmed the "
+                             "operators' rows")),
       Instances(gauge(*Registry, "hemlockspar_instances", "known instances")),
       LinkBacklog(gauge(*Registry, "hemlockspar_link_backlog_seconds",
                         "time that waiting and expected large responses take "
@@ -138,6 +141,10 @@
   this->Configuration.Set(static_cast<double>(Version));
 }
 
+void MeshMetrics::setConfigurationAge(Duration Age) {
+  this->ConfigurationAge.Set(std::chrono::duration<double>(Age).count());
+}
+
 void MeshMetrics::setInstances(std::size_t Count) {
   this->Instances.Set(static_cast<double>(Count));
 }
--- a/mesh/MeshMetrics.h
+++ b/mesh/MeshMetrics.h
@@ -46,6 +46,9 @@
 
   void setLoad(const ServerLoad &Load);
   void setConfiguration(std::uint64_t Version);
+
+  /// \p Age is the time since the store last confirmed the operators' rows.
+  void setConfigurationAge(Duration Age);
   void setInstances(std::size_t Count);
   void setMemory(const MemoryBudget &Memory);
 
@@ -65,6 +68,7 @@
   prometheus::Gauge &Running;
   prometheus::Gauge &Waiting;
   prometheus::Gauge &Configuration;
+  prometheus::Gauge &ConfigurationAge;
   prometheus::Gauge &Instances;
   prometheus::Gauge &LinkBacklog;
   prometheus::Counter &LinkRefusals;
--- a/mesh/MeshView.h
+++ b/mesh/MeshView.h
@@ -4,6 +4,7 @@
 #include "mesh/InstanceRow.h"
 #include "mesh/KeyMap.h"
 #include "mesh/Store.h"
+#include "mesh/configuration/TableFreshness.h"
 
 #include <functional>
 #include <map>
@@ -59,6 +60,12 @@
     return this->ActiveConfiguration;
   }
 
+  /// How recently the operators' table was confirmed to be known here.
+  TableFreshness &operatorFreshness() { return this->OperatorFreshness; }
+  const TableFreshness &operatorFreshness() const {
+    return this->OperatorFreshness;
+  }
+
   const std::map<InstanceId, InstanceRow> &instances() const {
     return this->Instances;
   }
@@ -116,6 +123,7 @@
   void notifyListeners();
 
   ConfigurationPtr ActiveConfiguration;
+  TableFreshness OperatorFreshness;
   std::set<std::string> Evacuated;
   RowVersion EvacuatedVersion = 0;
   std::map<InstanceId, InstanceRow> Instances;
--- a/mesh/RequestRouter.cpp
+++ b/mesh/RequestRouter.cpp
@@ -195,10 +195,12 @@
       targetPath({Request.target().data(), Request.target().size()});
   State.SelectedRoute = State.ActiveConfiguration->findRoute(Host, Path);
   if (!State.SelectedRoute) {
+    auto Age = this->View.operatorFreshness().age(Now);
     LogLine(LogLevel::Info, "route", "refused")
         .with("request", Headers.RequestId)
         .with("host", Host)
         .with("path", Path)
+        .with("confirmed_ms", Age ? toMilliseconds(*Age) : -1)
         .with("configuration",
               static_cast<long long>(State.ActiveConfiguration->Version))
         .with("reason", "no route");
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -98,16 +98,21 @@
   if (Feed.HasRead) {
     Feed.Version =
         std::max(Feed.Version, this->View.completeVersion(Feed.Table));
-    this->StoreClient.follow(Feed.Table, Feed.Version,
-                             this->stretched(Feed.MaxWait, MaxStoreWait),
+    Feed.FollowedAt = BootClock::now();
+    Feed.FollowWait = this->stretched(Feed.MaxWait, MaxStoreWait);
+    this->StoreClient.follow(Feed.Table, Feed.Version, Feed.FollowWait,
                              [this, &Feed](const FollowResult &Result) {
                                this->onFollowResult(Feed, Result);
                              });
     return;
   }
 
+  TimePoint SentAt = BootClock::now();
   this->StoreClient.readTable(
-      Feed.Table, [this, &Feed](const std::optional<StoreRows> &Read) {
+      Feed.Table, [this, &Feed, SentAt](const std::optional<StoreRows> &Read) {
+        if (Read && &Feed == &this->ConfigurationFeed) {
+          this->View.operatorFreshness().confirm(SentAt);
+        }
         if (!Read) {
           this->pollAfter(Feed, this->retryDelay(Feed.Failures++));
           return;
@@ -156,6 +161,9 @@
     break;
   }
 
+  if (&Feed == &this->ConfigurationFeed) {
+    this->onOperatorRows(Result.Rows);
+  }
   this->applyRows(Feed, Result.Rows);
   Feed.Version = std::max(Feed.Version, Result.Rows.Version);
   this->View.markComplete(Feed.Table, Feed.Version);
@@ -167,6 +175,21 @@
   }
 }
 
+void StoreSync::onOperatorRows(const StoreRows &Rows) {
+  TimePoint FollowedAt = this->ConfigurationFeed.FollowedAt;
+  if (Rows.Rows.empty()) {
+    // The store answers without changes only after the whole wait.
+    this->View.operatorFreshness().confirm(FollowedAt +
+                                           this->ConfigurationFeed.FollowWait);
+    return;
+  }
+  this->View.operatorFreshness().confirm(FollowedAt);
+  LogLine(LogLevel::Info, "store", "operator_rows")
+      .with("rows", static_cast<long long>(Rows.Rows.size()))
+      .with("version", static_cast<long long>(Rows.Version))
+      .with("waited_ms", toMilliseconds(BootClock::now() - FollowedAt));
+}
+
 Duration StoreSync::pauseAfterChanges(const TableFeed &Feed) const {
   bool Starting = BootClock::now() - this->StartedAt < StartPeriod;
   if (&Feed == &this->KeyFeed || Starting) {
@@ -279,10 +302,12 @@
   LogLine(LogLevel::Info, "store", "configuration_missed")
       .with("seen", static_cast<long long>(this->NewestPeerVersion));
   this->CatchingUp = true;
+  TimePoint SentAt = BootClock::now();
   this->StoreClient.readTable(
-      tables::Operator, [this](const std::optional<StoreRows> &Read) {
+      tables::Operator, [this, SentAt](const std::optional<StoreRows> &Read) {
         this->CatchingUp = false;
         if (Read) {
+          this->View.operatorFreshness().confirm(SentAt);
           this->applyRows(this->ConfigurationFeed, *Read);
         }
       });
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -62,11 +62,16 @@
 
     /// Calls that failed in a row.
     unsigned Failures = 0;
+
+    /// When the last wait for changes began, and how long it was to be.
+    TimePoint FollowedAt;
+    Duration FollowWait{};
   };
 
   void poll(TableFeed &Feed);
   void pollAfter(TableFeed &Feed, Duration Pause);
   void onFollowResult(TableFeed &Feed, const FollowResult &Result);
+  void onOperatorRows(const StoreRows &Rows);
   void applyRows(TableFeed &Feed, const StoreRows &Rows);
   Duration pauseAfterChanges(const TableFeed &Feed) const;
   Duration stretched(Duration Interval, Duration Max) const;
--- a/mesh/placement/ColdStartLimiter.cpp
+++ b/mesh/placement/ColdStartLimiter.cpp
@@ -110,6 +110,12 @@
   this->Reserved -= this->Reserved > 0 ? 1 : 0;
 }
 
+std::size_t ColdStartLimiter::sentLately(TimePoint Now) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->Sent.begin(), this->Sent.end(),
+      [&](const SentRequest &Entry) { return Now - Entry.SentAt < Window; }));
+}
+
 Duration ColdStartLimiter::untilNext(TimePoint Now) const {
   if (this->Sent.empty() || !this->isActive(Now)) {
     return Duration::zero();
--- a/mesh/placement/ColdStartLimiter.h
+++ b/mesh/placement/ColdStartLimiter.h
@@ -47,6 +47,9 @@
 
   double tolerated() const { return this->Tolerated; }
 
+  /// Number of requests sent within the last second.
+  std::size_t sentLately(TimePoint Now) const;
+
 private:
   struct SentRequest {
     TimePoint SentAt;
