--- a/stand_ins/FakePlatformServer.cpp
+++ b/stand_ins/FakePlatformServer.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::string_view GrantPath = "/api/grant";
 constexpr std::string_view ReleasePath = "/api/release";
+constexpr std::string_view HealthPath = "/healthz";
 
 /// Interval at which a release checks whether running requests have ended.
 constexpr auto ReleasePollInterval = std::chrono::milliseconds(10);
@@ -86,6 +87,36 @@
   this->Draining = false;
 }
 
+void FakePlatformServer::turnCold(std::chrono::milliseconds Span) {
+  std::lock_guard Lock(this->Mutex);
+  this->ColdUntil = BootClock::now() + Span;
+}
+
+std::size_t FakePlatformServer::mostColdArrivalsInASecond() {
+  std::lock_guard Lock(this->Mutex);
+  std::size_t Most = 0;
+  for (auto First = this->ColdArrivals.begin();
+       First != this->ColdArrivals.end(); ++First) {
+    auto End = std::lower_bound(First, this->ColdArrivals.end(),
+                                *First + std::chrono::seconds(1));
+    Most = std::max(Most, static_cast<std::size_t>(End - First));
+  }
+  return Most;
+}
+
+Duration FakePlatformServer::coldLeft() const {
+  return std::max<Duration>(this->ColdUntil - BootClock::now(),
+                            Duration::zero());
+}
+
+HttpResponse FakePlatformServer::health() {
+  std::lock_guard Lock(this->Mutex);
+  HttpResponse Response(http::status::ok, 11);
+  Response.set("Instance-Id", this->Settings.Id);
+  Response.set("Cold-Ms", std::to_string(toMilliseconds(this->coldLeft())));
+  return Response;
+}
+
 // Grants by call
 
 bool FakePlatformServer::isCallLate() {
@@ -232,6 +263,10 @@
     return this->serveGrantCall(Path, *Call, Yield);
   }
 
+  if (Path == HealthPath) {
+    return this->health();
+  }
+
   std::string RequestId = headerValue(Request, "Request-Id");
   PlatformServerFaults Now;
   {
@@ -244,6 +279,9 @@
     if (Misdirected) {
       return this->refuse(http::status::misdirected_request, RequestId);
     }
+    if (this->coldLeft() > Duration::zero()) {
+      this->ColdArrivals.push_back(BootClock::now());
+    }
     if (Now.RefuseRequests || this->Running >= this->Settings.Slots) {
       return this->refuse(http::status::service_unavailable, RequestId);
     }
@@ -303,7 +341,7 @@
   Report["version"] = "v1";
   Report["slots"] = this->Settings.Slots;
   Report["state"] = this->Draining ? "draining" : "ready";
-  Report["cold_left"] = "0ms";
+  Report["cold_left"] = absl::StrCat(toMilliseconds(this->coldLeft()), "ms");
   Report["sequence"] = Json::UInt64(++this->Sequence);
   Report["born"] = Json::Int64(this->StartedAtUnixMs);
   Report["holds"] = Json::Value(Json::arrayValue);
--- a/stand_ins/FakePlatformServer.h
+++ b/stand_ins/FakePlatformServer.h
@@ -81,6 +81,14 @@
   /// reports begins again.
   void restart(const std::string &Id);
 
+  /// It is cold for \p Span from now on, and says so in its reports and in the
+  /// responses of its health path.
+  void turnCold(std::chrono::milliseconds Span);
+
+  /// The most requests that arrived within any second while it was cold.
+  /// Misdirected ones do not count.
+  std::size_t mostColdArrivalsInASecond();
+
   /// Whether it holds \p Key now.
   bool holds(std::uint32_t Key);
 
@@ -109,6 +117,8 @@
   bool applyResponse(const Json::Value &Answer, TimePoint SentAt);
   std::int64_t startedAtUnixMs();
   bool holdsLocked(std::uint32_t Key) const;
+  Duration coldLeft() const;
+  HttpResponse health();
 
   boost::asio::io_context &Io;
   Config Settings;
@@ -127,6 +137,8 @@
   std::vector<std::uint64_t> SeenTokens = std::vector<std::uint64_t>(KeyCount);
   unsigned GrantCallCount = 0;
   std::uint32_t Running = 0;
+  TimePoint ColdUntil;
+  std::vector<TimePoint> ColdArrivals;
   std::vector<std::string> ExecutedRequests;
   std::map<std::string, std::string> LastRequestHeaders;
 };
--- a/stand_ins/FakePlatformStore.cpp
+++ b/stand_ins/FakePlatformStore.cpp
@@ -101,7 +101,9 @@
   {
     std::lock_guard Lock(this->Mutex);
     ++this->CallCounts[Call];
-    Unanswered = matchesCaller(this->Faults.UnansweredCallers, Caller);
+    Unanswered = matchesCaller(this->Faults.UnansweredCallers, Caller) ||
+                 this->Faults.UnansweredTables.contains(
+                     requestParameter(Request, "table_name"));
     Refused = matchesCaller(this->Faults.RefusedCallers, Caller);
     DropResponse = this->Faults.DropResponses && Call == "rows-tx";
   }
--- a/stand_ins/FakePlatformStore.h
+++ b/stand_ins/FakePlatformStore.h
@@ -19,6 +19,9 @@
   /// every caller.
   std::set<std::string> UnansweredCallers;
 
+  /// Tables whose reads get no response within any client timeout.
+  std::set<std::string> UnansweredTables;
+
   /// Commits transactions, but sends no response within any client timeout.
   bool DropResponses = false;
 };
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -40,10 +40,13 @@
       Homes, "]}}");
 }
 
-std::string serviceText(const std::string &Name, bool Keyed) {
-  return absl::StrCat(R"({"resource_kind":"services","metadata":{"name":")",
-                      Name, R"("},"spec":{"max_connections":100,"sharded":)",
-                      Keyed ? "true" : "false", R"(,"warmup":"2s"}})");
+std::string serviceText(const std::string &Name, bool Keyed,
+                        double ColdRequestsPerSecond) {
+  return absl::StrCat(
+      R"({"resource_kind":"services","metadata":{"name":")", Name,
+      R"("},"spec":{"max_connections":100,"sharded":)",
+      Keyed ? "true" : "false", R"(,"warmup":"2s","health_path":"/healthz",)",
+      R"("cold_start":"3s","cold_per_s":)", ColdRequestsPerSecond, "}}");
 }
 
 } // namespace
@@ -158,7 +161,8 @@
       "op", "config",
       absl::StrCat(
           R"({"version":"r)", Version, R"(","resources":[)", Routes, ",",
-          serviceText("menus", true), ",", serviceText("bookings", false),
+          serviceText("menus", true, this->ColdRequestsPerSecond), ",",
+          serviceText("bookings", false, this->ColdRequestsPerSecond),
           R"(,{"resource_kind":"limits","metadata":{},"spec":{)",
           R"("max_header_bytes":16384,"max_body_bytes":)", this->MaxBodyBytes,
           ",", R"("header_timeout":"3000ms","idle_timeout":"15000ms"}}]})"));
--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -48,6 +48,12 @@
     this->HomesOfRoute[Route] = "\"" + Region + "\"";
   }
 
+  /// Declares that cold backend servers tolerate \p Rate requests per second in
+  /// configurations declared from now on.
+  void setColdRequestsPerSecond(double Rate) {
+    this->ColdRequestsPerSecond = Rate;
+  }
+
   /// Declares \p Bytes as the largest body in configurations declared from now
   /// on.
   void setMaxBodyBytes(std::uint64_t Bytes) { this->MaxBodyBytes = Bytes; }
@@ -152,6 +158,7 @@
   bool GrantsByCall = false;
   double LinkMbps = 0;
   std::uint64_t MaxBodyBytes = 1000000;
+  double ColdRequestsPerSecond = 0;
   std::string MoreSettings;
 
   /// Home regions of routes, as the elements of a JSON list.
--- /dev/null
+++ b/tests/mesh/configuration/ConfigurationMeshTest.cpp
@@ -0,0 +1,71 @@
+#include "tests/mesh/PlatformMesh.h"
+
+#include <criterion/criterion.h>
+#include <thread>
+
+using namespace hemlockspar;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const std::vector<std::string> FourDaemons = {"menus", "menus", "bookings",
+                                              "bookings"};
+
+/// Operators expect a configuration to be in force everywhere after this time,
+/// and an evacuation to be complete after the second one.
+constexpr auto ConfigurationTime = milliseconds(2500);
+constexpr auto EvacuationTime = seconds(5);
+
+/// A daemon counts as connected to the store this long after an outage.
+constexpr auto ContactTime = seconds(4);
+
+unsigned statusOf(const ExchangeResult &Result) {
+  return Result.Outcome == ExchangeOutcome::Answered
+             ? Result.Response.result_int()
+             : 0;
+}
+
+/// Leaves daemon 3 with a wait for changes that the store has accepted and will
+/// not answer; new calls of the daemon are answered again after ContactTime.
+void loseWaitOfDaemon3(PlatformMesh &Mesh) {
+  PlatformStoreFaults Silent;
+  Silent.UnansweredCallers = {"d3"};
+  Mesh.store().setFaults(Silent);
+  Mesh.declare(2, "first");
+  cr_assert(Mesh.waitUntil(
+      [&] { return statusOf(Mesh.send(3, "/first/1")) == 200; }));
+  std::this_thread::sleep_for(milliseconds(200));
+  Mesh.store().setFaults({});
+}
+
+} // namespace
+
+/// A daemon whose wait for changes is never answered, and which no other daemon
+/// tells of the version, must not answer 404 for a route that has been added.
+Test(ConfigurationMesh, LostWaitDelaysAConfiguration) {
+  PlatformMesh Mesh(131, FourDaemons);
+  cr_assert(Mesh.start());
+  loseWaitOfDaemon3(Mesh);
+  std::this_thread::sleep_for(ContactTime - ConfigurationTime);
+
+  Mesh.declare(3, "second");
+  std::this_thread::sleep_for(ConfigurationTime);
+  cr_assert_eq(statusOf(Mesh.send(3, "/second/1")), 200);
+}
+
+/// The same for evacuations, which have no version that other daemons could
+/// tell of.
+Test(ConfigurationMesh, LostWaitDelaysAnEvacuation) {
+  PlatformMesh Mesh(132, FourDaemons);
+  cr_assert(Mesh.start());
+  loseWaitOfDaemon3(Mesh);
+
+  Mesh.store().put("op", "evacuate/r1-a", "{}");
+  std::this_thread::sleep_for(EvacuationTime);
+  std::size_t Before = Mesh.server(3).executedRequests().size();
+  for (int Sent = 0; Sent < 10; ++Sent) {
+    cr_assert_eq(statusOf(Mesh.send(3, "/lists/1")), 200);
+  }
+  cr_assert_eq(Mesh.server(3).executedRequests().size(), Before);
+}
