mesh: ask the store when the operators' rows are not confirmed

Cause: a daemon relied on one wait for changes, held open for 9 s and more in larger fleets. A wait that the store accepted and never answers looks like a table that does not change. Other failing calls reveal it, but a daemon without keys hardly makes any; the version on a hop does, but not to a daemon without requests, and not for evacuations.

Now each daemon knows until when its knowledge is confirmed: by the store's answers, and by the responses of other daemons, which tell the newest change that they know of and since when there was none. When nothing was confirmed for 1 to 1.7 s, the daemon asks the store without a wait. This bounds the age of what is known by less than config_apply whatever became of the wait, for every row of the table. In a busy fleet few daemons have to ask.

--- a/mesh/Attempt.h
+++ b/mesh/Attempt.h
@@ -109,6 +109,9 @@
   /// Versions of the instance's view.
   ViewVersions View;
 
+  /// How recently the instance knew all rows of the operators' table.
+  FreshnessReport OperatorRows;
+
   /// Valid when the outcome is Answered.
   HttpResponse Response;
 };
--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -14,7 +14,7 @@
 /// Size of a body whose admission is asked for.
 constexpr char AdmissionHeader[] = "Hs-Body-Bytes";
 constexpr std::size_t ContextFieldCount = 9;
-constexpr std::size_t ResultFieldCount = 21;
+constexpr std::size_t ResultFieldCount = 23;
 
 /// Fractions are encoded as integer hundredths.
 constexpr double Hundredths = 100;
@@ -87,6 +87,10 @@
       Answered ? std::move(Result.Response)
                : HttpResponse(http::status::service_unavailable, 11);
   ServerLoad Load = Result.Load.value_or(ServerLoad{.Slots = 0});
+  std::string Age =
+      Result.OperatorRows.Age
+          ? std::to_string(toMilliseconds(*Result.OperatorRows.Age))
+          : NoValue;
 
   Response.set(
       Header,
@@ -104,7 +108,8 @@
                    " ", toMilliseconds(Load.ColdLeft), " ",
                    std::lround(Load.ColdRequestsPerSecond * Hundredths), " ",
                    std::lround(Load.Pace * Hundredths), " ",
-                   toMilliseconds(Load.LinkBacklog)));
+                   toMilliseconds(Load.LinkBacklog), " ",
+                   Result.OperatorRows.NewestChange, " ", Age));
   return Response;
 }
 
@@ -148,6 +153,11 @@
   if (Load.Slots > 0) {
     Result.Load = Load;
   }
+  Result.OperatorRows.NewestChange =
+      static_cast<RowVersion>(parseNumber(Fields[21]));
+  if (Fields[22] != NoValue) {
+    Result.OperatorRows.Age = parseMilliseconds(Fields[22]);
+  }
   Result.Response = std::move(Response);
   return Result;
 }
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -126,6 +126,10 @@
   void onPeerLoad(const InstanceId &Instance, double OfferedLoad) override {
     this->KeyManager.onPeerLoad(Instance, OfferedLoad);
   }
+  void onPeerFreshness(const FreshnessReport &Theirs,
+                       TimePoint AskedAt) override {
+    this->View.operatorFreshness().confirmByPeer(Theirs, AskedAt);
+  }
   void onPeerConfiguration(std::uint64_t Version) override {
     this->Sync.onPeerConfiguration(Version);
   }
@@ -461,6 +465,7 @@
 
 void MeshDaemon::tick() {
   TimePoint Now = BootClock::now();
+  this->Sync.checkOperatorRows(Now);
   if (this->Dispatcher.load().Waiting > 0) {
     this->Dispatcher.shedExpired();
   }
--- a/mesh/RequestRouter.cpp
+++ b/mesh/RequestRouter.cpp
@@ -497,6 +497,7 @@
   ExchangeOptions Bounds;
   Bounds.Deadline = Context.Deadline + FinalResponseSlack;
   Bounds.Watch = &Watch;
+  TimePoint SentAt = BootClock::now();
   ExchangeResult Exchange =
       this->PeerClient.exchange(Row.PeerAddress, Request, Bounds, Yield);
   hop::erase(Request);
@@ -516,6 +517,7 @@
   eraseHopByHopHeaders(Exchange.Response);
   AttemptResult Result = hop::takeResult(std::move(Exchange.Response));
   this->Events.onPeerConfiguration(Result.ConfigurationVersion);
+  this->Events.onPeerFreshness(Result.OperatorRows, SentAt);
   this->Events.onPeerView(Result.View, Row.PeerAddress);
   return Result;
 }
@@ -678,6 +680,7 @@
       .with("ms", toMilliseconds(BootClock::now() - Now));
   Result.ConfigurationVersion = this->activeVersion();
   Result.View = this->View.versions();
+  Result.OperatorRows = this->View.operatorFreshness().report(BootClock::now());
   if (Context->Key && Result.Reason == AttemptReason::NotOwner) {
     this->addOwnerHint(Result, *Context);
   }
--- a/mesh/RequestRouter.h
+++ b/mesh/RequestRouter.h
@@ -27,6 +27,11 @@
   /// \p Instance reported \p OfferedLoad, relative to its slots.
   virtual void onPeerLoad(const InstanceId &Instance, double OfferedLoad) = 0;
 
+  /// Another instance told, in its response to a request of \p AskedAt, how
+  /// recently it knew all rows of the operators' table.
+  virtual void onPeerFreshness(const FreshnessReport &Theirs,
+                               TimePoint AskedAt) = 0;
+
   /// Another instance has activated configuration \p Version.
   virtual void onPeerConfiguration(std::uint64_t Version) = 0;
 };
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -111,7 +111,7 @@
   this->StoreClient.readTable(
       Feed.Table, [this, &Feed, SentAt](const std::optional<StoreRows> &Read) {
         if (Read && &Feed == &this->ConfigurationFeed) {
-          this->View.operatorFreshness().confirm(SentAt);
+          this->onOperatorTableRead(*Read, SentAt);
         }
         if (!Read) {
           this->pollAfter(Feed, this->retryDelay(Feed.Failures++));
@@ -162,7 +162,7 @@
   }
 
   if (&Feed == &this->ConfigurationFeed) {
-    this->onOperatorRows(Result.Rows);
+    this->onOperatorRows(Result.Rows, Feed.FollowedAt, Feed.FollowWait);
   }
   this->applyRows(Feed, Result.Rows);
   Feed.Version = std::max(Feed.Version, Result.Rows.Version);
@@ -175,21 +175,73 @@
   }
 }
 
-void StoreSync::onOperatorRows(const StoreRows &Rows) {
-  TimePoint FollowedAt = this->ConfigurationFeed.FollowedAt;
+void StoreSync::onOperatorTableRead(const StoreRows &Rows, TimePoint SentAt) {
+  // A read does not tell when the last row was deleted.
+  TableFreshness &Freshness = this->View.operatorFreshness();
+  Freshness.onChange(Rows.Version);
+  Freshness.confirm(Rows.Version, SentAt);
+}
+
+void StoreSync::onOperatorRows(const StoreRows &Rows, TimePoint FollowedAt,
+                               Duration Wait) {
+  TableFreshness &Freshness = this->View.operatorFreshness();
   if (Rows.Rows.empty()) {
     // The store answers without changes only after the whole wait.
-    this->View.operatorFreshness().confirm(FollowedAt +
-                                           this->ConfigurationFeed.FollowWait);
+    Freshness.confirm(Rows.Version, FollowedAt + Wait);
     return;
   }
-  this->View.operatorFreshness().confirm(FollowedAt);
+  for (const TableRow &Row : Rows.Rows) {
+    Freshness.onChange(Row.Version);
+  }
+  Freshness.confirm(Rows.Version, FollowedAt);
   LogLine(LogLevel::Info, "store", "operator_rows")
       .with("rows", static_cast<long long>(Rows.Rows.size()))
       .with("version", static_cast<long long>(Rows.Version))
       .with("waited_ms", toMilliseconds(BootClock::now() - FollowedAt));
 }
 
+void StoreSync::checkOperatorRows(TimePoint Now) {
+  // While calls fail, the feed itself asks again.
+  TableFeed &Feed = this->ConfigurationFeed;
+  TableFreshness &Freshness = this->View.operatorFreshness();
+  bool Follows = Feed.HasRead && Feed.Failures == 0;
+  if (!Follows || this->CheckPending || !Freshness.isCheckDue(Now)) {
+    return;
+  }
+
+  this->CheckPending = true;
+  Freshness.onCheckBegun(
+      Now, std::uniform_real_distribution<double>(0, 1)(this->Random));
+  this->StoreClient.follow(Feed.Table, Feed.Version, Duration::zero(),
+                           [this, Now](const FollowResult &Result) {
+                             this->CheckPending = false;
+                             this->onCheckResult(Result, Now);
+                           });
+}
+
+void StoreSync::onCheckResult(const FollowResult &Result, TimePoint SentAt) {
+  TableFeed &Feed = this->ConfigurationFeed;
+  switch (Result.Outcome) {
+  case FollowOutcome::HistoryLost:
+    this->readConfiguration();
+    return;
+  case FollowOutcome::Failed:
+    return;
+  case FollowOutcome::Changes:
+    break;
+  }
+
+  if (!Result.Rows.Rows.empty()) {
+    LogLine(LogLevel::Info, "store", "found_by_check")
+        .with("table", Feed.Table)
+        .with("after", static_cast<long long>(Feed.Version))
+        .with("waited_ms", toMilliseconds(SentAt - Feed.FollowedAt));
+  }
+  this->onOperatorRows(Result.Rows, SentAt, Duration::zero());
+  this->applyRows(Feed, Result.Rows);
+  Feed.Version = std::max(Feed.Version, Result.Rows.Version);
+}
+
 Duration StoreSync::pauseAfterChanges(const TableFeed &Feed) const {
   bool Starting = BootClock::now() - this->StartedAt < StartPeriod;
   if (&Feed == &this->KeyFeed || Starting) {
@@ -307,7 +359,7 @@
       tables::Operator, [this, SentAt](const std::optional<StoreRows> &Read) {
         this->CatchingUp = false;
         if (Read) {
-          this->View.operatorFreshness().confirm(SentAt);
+          this->onOperatorTableRead(*Read, SentAt);
           this->applyRows(this->ConfigurationFeed, *Read);
         }
       });
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -39,6 +39,10 @@
   /// Starts to follow the table of keys.
   void followKeys();
 
+  /// Asks the store for changes of the operators' table when it has not been
+  /// confirmed lately that all are known here.
+  void checkOperatorRows(TimePoint Now);
+
   /// Another instance has activated configuration \p Version. Unless it arrives
   /// here shortly, the pending wait for changes is assumed dead and the table
   /// is read.
@@ -71,7 +75,10 @@
   void poll(TableFeed &Feed);
   void pollAfter(TableFeed &Feed, Duration Pause);
   void onFollowResult(TableFeed &Feed, const FollowResult &Result);
-  void onOperatorRows(const StoreRows &Rows);
+  void onOperatorTableRead(const StoreRows &Rows, TimePoint SentAt);
+  void onOperatorRows(const StoreRows &Rows, TimePoint FollowedAt,
+                      Duration Wait);
+  void onCheckResult(const FollowResult &Result, TimePoint SentAt);
   void applyRows(TableFeed &Feed, const StoreRows &Rows);
   Duration pauseAfterChanges(const TableFeed &Feed) const;
   Duration stretched(Duration Interval, Duration Max) const;
@@ -104,6 +111,9 @@
   std::uint64_t NewestPeerVersion = 0;
   boost::asio::steady_timer CatchUpTimer;
   bool CatchingUp = false;
+
+  /// Whether a check of the operators' table is unanswered.
+  bool CheckPending = false;
   std::mt19937_64 Random;
   unsigned WriteFailures = 0;
 };
--- /dev/null
+++ b/mesh/configuration/TableFreshness.cpp
@@ -0,0 +1,61 @@
+#include "mesh/configuration/TableFreshness.h"
+
+#include <algorithm>
+
+namespace hemlockspar {
+
+namespace {
+
+/// The store is asked when nothing has been confirmed for a random time between
+/// these. With the call itself this stays below the shortest time in which
+/// operators expect a configuration to be in force.
+constexpr auto MinCheckAge = std::chrono::milliseconds(1000);
+constexpr auto MaxCheckAge = std::chrono::milliseconds(1700);
+
+/// Minimum time between two checks.
+constexpr auto MinCheckInterval = std::chrono::milliseconds(1000);
+
+} // namespace
+
+TableFreshness::TableFreshness() : CheckAge(MaxCheckAge) {}
+
+void TableFreshness::confirm(RowVersion NewComplete, TimePoint NewAsOf) {
+  this->Complete = std::max(this->Complete, NewComplete);
+  this->AsOf = this->AsOf ? std::max(*this->AsOf, NewAsOf) : NewAsOf;
+}
+
+void TableFreshness::onChange(RowVersion Version) {
+  this->NewestChange = std::max(this->NewestChange, Version);
+}
+
+void TableFreshness::confirmByPeer(const FreshnessReport &Theirs,
+                                   TimePoint AskedAt) {
+  // Nothing changed between NewestChange and the moment that they tell of, so a
+  // view that includes NewestChange was complete at that moment.
+  if (this->AsOf && Theirs.Age && Theirs.NewestChange <= this->Complete) {
+    this->AsOf = std::max(*this->AsOf, AskedAt - *Theirs.Age);
+  }
+}
+
+FreshnessReport TableFreshness::report(TimePoint Now) const {
+  return {this->NewestChange, this->age(Now)};
+}
+
+std::optional<Duration> TableFreshness::age(TimePoint Now) const {
+  return this->AsOf ? std::optional<Duration>(
+                          std::max<Duration>(Now - *this->AsOf, {}))
+                    : std::nullopt;
+}
+
+bool TableFreshness::isCheckDue(TimePoint Now) const {
+  bool Checking = this->CheckedAt && Now - *this->CheckedAt < MinCheckInterval;
+  return this->AsOf && Now - *this->AsOf >= this->CheckAge && !Checking;
+}
+
+void TableFreshness::onCheckBegun(TimePoint Now, double Jitter) {
+  this->CheckedAt = Now;
+  this->CheckAge = std::chrono::duration_cast<Duration>(
+      MinCheckAge + (MaxCheckAge - MinCheckAge) * Jitter);
+}
+
+} // namespace hemlockspar
--- a/tests/mesh/HopCodecTest.cpp
+++ b/tests/mesh/HopCodecTest.cpp
@@ -43,6 +43,7 @@
   Result.OwnerKeys = {100, 200};
   Result.OwnerMapVersion = 31;
   Result.View = {40, 41};
+  Result.OperatorRows = {57, milliseconds(320)};
   Result.RunTime = milliseconds(250);
   Result.Load = ServerLoad{3, 1, 6, 0.5, milliseconds(210)};
 
@@ -53,6 +54,8 @@
   cr_assert(Read.OwnerKeys == (KeyRange{100, 200}));
   cr_assert(Read.OwnerMapVersion == 31 && Read.View == (ViewVersions{40, 41}));
   cr_assert(Read.RunTime == milliseconds(250));
+  cr_assert(Read.OperatorRows.NewestChange == 57);
+  cr_assert(Read.OperatorRows.Age == milliseconds(320));
   cr_assert(Read.Load && Read.Load->Slots == 6 && Read.Load->Waiting == 1);
 }
 
