mesh: apply the limit of a cold server when a request is sent

Cause: ColdStartLimiter was asked when a request was admitted. Requests that were admitted while the server was warm waited for a slot and were sent at the pace of the slots after it had turned cold; the limiter counted them, but held back only those that arrived later.

Now the limit is asked again immediately before a request is sent, and what was sent counts whether or not a limit was declared at the time. As soon as the cold is known, waiting requests beyond the limit are refused, the less urgent first, each with the time until it would be its turn; they do not wait for their deadline. Refusals no longer count as runs of no duration in the expected run times.

--- a/mesh/BackendDispatcher.cpp
+++ b/mesh/BackendDispatcher.cpp
@@ -76,6 +76,11 @@
 
   Event Decided;
   bool HasKey = false;
+  std::uint32_t Rank = 0;
+
+  /// Set when it is refused since the server has turned cold: the time until it
+  /// would be its turn.
+  std::optional<Duration> ColdWait;
   AdmissionVerdict Verdict = AdmissionVerdict::Shed;
 };
 
@@ -204,6 +209,12 @@
     Refusal = this->busy(Inputs, Context);
     return false;
   }
+  this->updateColdStart(Context.Service);
+  if (this->ColdStart.room(Now) == 0U) {
+    Refusal = this->refusal(AttemptReason::Cold, this->ColdStart.untilNext(Now),
+                            Context);
+    return false;
+  }
   return true;
 }
 
@@ -244,8 +255,12 @@
   }
 
   RequestNumber Number = ++this->LastNumber;
-  if (!this->admit(Number, Context, Watch, Yield)) {
+  Waiter Entry(this->Io);
+  if (!this->admit(Number, Entry, Context, Watch, Yield)) {
     this->ColdStart.onDropped();
+    if (Entry.ColdWait) {
+      return this->refusal(AttemptReason::Cold, *Entry.ColdWait, Context);
+    }
     Inputs = this->admissionInputs(Context, BootClock::now());
     if (!this->Ranked.isActive()) {
       Inputs.ExpectedWait = this->expectedWait(0);
@@ -293,6 +308,39 @@
   }
 }
 
+void BackendDispatcher::onServerChanged() {
+  if (!this->Server.hasReport()) {
+    return;
+  }
+  this->updateColdStart(this->Server.lastReport().Service);
+  this->refuseExcessOfColdServer(BootClock::now());
+}
+
+void BackendDispatcher::refuseExcessOfColdServer(TimePoint Now) {
+  auto Room = this->ColdStart.room(Now);
+  if (!Room || this->Waiters.size() <= *Room) {
+    return;
+  }
+
+  std::vector<std::pair<std::uint32_t, RequestNumber>> ByUrgency;
+  for (const auto &[Number, Waiting] : this->Waiters) {
+    ByUrgency.emplace_back(Waiting->Rank, Number);
+  }
+  std::ranges::sort(ByUrgency);
+  Duration Wait = this->ColdStart.untilNext(Now);
+  auto Interval = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(1 / this->ColdStart.tolerated()));
+  for (std::size_t Index = *Room; Index < ByUrgency.size(); ++Index) {
+    RequestNumber Number = ByUrgency[Index].second;
+    if (this->Queue.cancel(Number)) {
+      Waiter &Refused = *this->Waiters.at(Number);
+      Refused.ColdWait = Wait;
+      Refused.decide(AdmissionVerdict::Shed);
+      Wait += Interval;
+    }
+  }
+}
+
 void BackendDispatcher::logColdExcess(const AttemptContext &Context,
                                       TimePoint Now) const {
   TimePoint ColdUntil = this->Server.coldUntil();
@@ -313,9 +361,8 @@
     CallerWatch &Watch, const asio::yield_context &Yield) {
   TimePoint DispatchedAt = BootClock::now();
   double PaceBefore = this->Pace.factor(DispatchedAt);
-  this->ColdStart.onSent(Context.Rank, DispatchedAt);
-  this->logColdExcess(Context, DispatchedAt);
-  AttemptResult Result = this->dispatch(Request, Context, Watch, Yield);
+  AttemptResult Result =
+      this->dispatchWithinColdLimit(Request, Context, Watch, Yield);
   TimePoint Now = BootClock::now();
 
   // Learned without the slowness of the moment.
@@ -323,7 +370,9 @@
   auto RunTime =
       std::chrono::duration_cast<Duration>((Now - DispatchedAt) / MeanPace);
 
-  bool Overloaded = Result.Reason == AttemptReason::ServerRefused;
+  // Refusals say nothing of the time that requests take.
+  bool Overloaded = Result.Reason == AttemptReason::ServerRefused ||
+                    Result.Reason == AttemptReason::Cold;
   this->updateUtilisation(Now);
   this->Queue.onFinished(Number, RunTime, Overloaded, Now);
   if (Result.Outcome == RequestOutcome::Answered) {
@@ -338,11 +387,11 @@
   return Result;
 }
 
-bool BackendDispatcher::admit(RequestNumber Number,
+bool BackendDispatcher::admit(RequestNumber Number, Waiter &Entry,
                               const AttemptContext &Context, CallerWatch &Watch,
                               const asio::yield_context &Yield) {
-  Waiter Entry(this->Io);
   Entry.HasKey = Context.Key.has_value();
+  Entry.Rank = Context.Rank;
   this->Waiters[Number] = &Entry;
   this->updateUtilisation(BootClock::now());
 
@@ -378,6 +427,20 @@
 
 void BackendDispatcher::shedExpired() { this->applyVerdicts(); }
 
+AttemptResult BackendDispatcher::dispatchWithinColdLimit(
+    HttpRequest &Request, const AttemptContext &Context, CallerWatch &Watch,
+    const asio::yield_context &Yield) {
+  // The server may have turned cold while the request was queued.
+  TimePoint Now = BootClock::now();
+  this->updateColdStart(Context.Service);
+  if (!this->ColdStart.trySend(Context.Rank, Now)) {
+    return this->refusal(AttemptReason::Cold, this->ColdStart.untilNext(Now),
+                         Context);
+  }
+  this->logColdExcess(Context, Now);
+  return this->dispatch(Request, Context, Watch, Yield);
+}
+
 AttemptResult BackendDispatcher::dispatch(HttpRequest &Request,
                                           const AttemptContext &Context,
                                           CallerWatch &Watch,
--- a/mesh/BackendDispatcher.h
+++ b/mesh/BackendDispatcher.h
@@ -55,6 +55,10 @@
   /// wait for a slot are refused.
   void onViewChanged();
 
+  /// The state of the local backend server may have changed: requests that it
+  /// no longer tolerates are refused.
+  void onServerChanged();
+
 private:
   struct Waiter;
 
@@ -75,9 +79,14 @@
   AttemptResult serveAdmitted(RequestNumber Number, HttpRequest &Request,
                               const AttemptContext &Context, CallerWatch &Watch,
                               const boost::asio::yield_context &Yield);
-  bool admit(RequestNumber Number, const AttemptContext &Context,
+  void refuseExcessOfColdServer(TimePoint Now);
+  bool admit(RequestNumber Number, Waiter &Entry, const AttemptContext &Context,
              CallerWatch &Watch, const boost::asio::yield_context &Yield);
   void applyVerdicts();
+  AttemptResult
+  dispatchWithinColdLimit(HttpRequest &Request, const AttemptContext &Context,
+                          CallerWatch &Watch,
+                          const boost::asio::yield_context &Yield);
   AttemptResult dispatch(HttpRequest &Request, const AttemptContext &Context,
                          CallerWatch &Watch,
                          const boost::asio::yield_context &Yield);
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -383,6 +383,7 @@
 }
 
 void MeshDaemon::onServerChanged() {
+  this->Dispatcher.onServerChanged();
   if (this->Server.hasRow()) {
     this->Sync.setOwnRow(this->Server.toRow());
   }
--- a/mesh/placement/ColdStartLimiter.cpp
+++ b/mesh/placement/ColdStartLimiter.cpp
@@ -25,9 +25,6 @@
 
 void ColdStartLimiter::setTolerated(double RequestsPerSecond) {
   this->Tolerated = RequestsPerSecond;
-  if (RequestsPerSecond <= 0) {
-    this->Sent.clear();
-  }
 }
 
 bool ColdStartLimiter::isActive(TimePoint Now) const {
@@ -48,6 +45,9 @@
 
 Duration ColdStartLimiter::window(TimePoint Now) const {
   // A rate below one per second allows one request in a longer window.
+  if (this->Tolerated <= 0) {
+    return Window;
+  }
   double Rate = std::min(this->rate(Now), 1.0);
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(seconds(Window) / Rate));
@@ -73,9 +73,6 @@
 }
 
 bool ColdStartLimiter::tryReserve(std::uint32_t Rank, TimePoint Now) {
-  if (this->Tolerated <= 0) {
-    return true;
-  }
   this->forgetOld(Now);
   if (!this->isActive(Now)) {
     ++this->Reserved;
@@ -98,18 +95,33 @@
   return true;
 }
 
-void ColdStartLimiter::onSent(std::uint32_t Rank, TimePoint Now) {
-  if (this->Tolerated > 0) {
-    this->Sent.push_back({Now, Rank});
-    this->forgetOld(Now);
-  }
+bool ColdStartLimiter::trySend(std::uint32_t Rank, TimePoint Now) {
   this->onDropped();
+  this->forgetOld(Now);
+  if (this->room(Now) == 0U) {
+    this->RefusedAt[Rank] = Now;
+    return false;
+  }
+  this->Sent.push_back({Now, Rank});
+  return true;
 }
 
 void ColdStartLimiter::onDropped() {
   this->Reserved -= this->Reserved > 0 ? 1 : 0;
 }
 
+std::optional<std::size_t> ColdStartLimiter::room(TimePoint Now) const {
+  if (!this->isActive(Now)) {
+    return std::nullopt;
+  }
+  Duration Kept = this->window(Now);
+  auto Counted = static_cast<std::size_t>(std::count_if(
+      this->Sent.begin(), this->Sent.end(),
+      [&](const SentRequest &Entry) { return Now - Entry.SentAt < Kept; }));
+  std::size_t Limit = this->limit(Now);
+  return Limit - std::min(Limit, Counted);
+}
+
 std::size_t ColdStartLimiter::sentLately(TimePoint Now) const {
   return static_cast<std::size_t>(std::count_if(
       this->Sent.begin(), this->Sent.end(),
--- a/mesh/placement/ColdStartLimiter.h
+++ b/mesh/placement/ColdStartLimiter.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace hemlockspar {
 
@@ -33,15 +34,19 @@
   Duration coldLeft(TimePoint Now) const;
 
   /// Reserves one request of \p Rank; false when the limit is reached. Each
-  /// reservation must be followed by onSent or onDropped.
+  /// reservation must be followed by trySend or onDropped.
   bool tryReserve(std::uint32_t Rank, TimePoint Now);
 
-  /// The reserved request is being sent to the server.
-  void onSent(std::uint32_t Rank, TimePoint Now);
+  /// Ends a reservation as its request is about to be sent. False when it must
+  /// not be sent: the server may have turned cold since the reservation.
+  bool trySend(std::uint32_t Rank, TimePoint Now);
 
   /// The reserved request will not be sent.
   void onDropped();
 
+  /// Number of requests that may be sent at \p Now; empty for any number.
+  std::optional<std::size_t> room(TimePoint Now) const;
+
   /// Time until the next request may be reserved, if nothing else is.
   Duration untilNext(TimePoint Now) const;
 
--- a/tests/mesh/placement/ColdStartLimiterTest.cpp
+++ b/tests/mesh/placement/ColdStartLimiterTest.cpp
@@ -18,8 +18,8 @@
   /// Offers one request every \p Gap for \p Span and sends what is admitted.
   void offer(Duration Span, Duration Gap, std::uint32_t Rank = 0) {
     for (TimePoint End = this->Now + Span; this->Now < End; this->Now += Gap) {
-      if (this->Limiter.tryReserve(Rank, this->Now)) {
-        this->Limiter.onSent(Rank, this->Now);
+      if (this->Limiter.tryReserve(Rank, this->Now) &&
+          this->Limiter.trySend(Rank, this->Now)) {
         this->SentAt.push_back(this->Now);
       }
     }
@@ -77,6 +77,31 @@
   cr_assert(Fixture.Limiter.tryReserve(0, Fixture.Now));
 }
 
+/// Requests that were reserved while the server was warm must not be sent
+/// beyond the limit once it is cold.
+Test(ColdStartLimiter, ReservationsOfAWarmServerExceedNoLimit) {
+  LimiterFixture Fixture;
+  for (int Count = 0; Count < 40; ++Count) {
+    cr_assert(Fixture.Limiter.tryReserve(0, Fixture.Now));
+  }
+  Fixture.Limiter.setColdUntil(Fixture.Now + seconds(10));
+  int Sent = 0;
+  for (int Count = 0; Count < 40; ++Count) {
+    Sent += Fixture.Limiter.trySend(0, Fixture.Now) ? 1 : 0;
+  }
+  cr_assert_eq(Sent, 7);
+}
+
+/// A limit that a new configuration declares counts what was sent before it.
+Test(ColdStartLimiter, CountsWhatWasSentBeforeTheLimitWasDeclared) {
+  LimiterFixture Fixture;
+  Fixture.Limiter.setTolerated(0);
+  Fixture.Limiter.setColdUntil(Fixture.Now + seconds(10));
+  Fixture.offer(milliseconds(200), milliseconds(10));
+  Fixture.Limiter.setTolerated(Tolerated);
+  cr_assert_not(Fixture.Limiter.tryReserve(0, Fixture.Now));
+}
+
 /// At the end of the cold the demand must not arrive all at once.
 Test(ColdStartLimiter, GrowsSteadilyAfterTheCold) {
   LimiterFixture Fixture;
@@ -97,8 +122,8 @@
   int Sent[2] = {0, 0};
   for (int Count = 0; Count < 2000; ++Count) {
     std::uint32_t Rank = Count % 4 == 0 ? 0 : 1;
-    if (Fixture.Limiter.tryReserve(Rank, Fixture.Now)) {
-      Fixture.Limiter.onSent(Rank, Fixture.Now);
+    if (Fixture.Limiter.tryReserve(Rank, Fixture.Now) &&
+        Fixture.Limiter.trySend(Rank, Fixture.Now)) {
       ++Sent[Rank];
     }
     Fixture.Now += milliseconds(5);
