mesh: without a configuration nothing is sent to the local server

A cold server got 294 requests in a second, 19 allowed, from a daemon that had been restarted and had read all tables but the operators'.

Cause: a bound that is not known was taken for no bound. A daemon without a configuration is not ready, so callers avoid it, but other daemons know its server from the table of instances and forward requests, and the limit of 0 stood for any number. The homes of routes were missing in the same way.

Now such a daemon refuses, and the sender tries another instance.

--- a/mesh/BackendDispatcher.cpp
+++ b/mesh/BackendDispatcher.cpp
@@ -101,7 +101,8 @@
 std::optional<AttemptResult>
 BackendDispatcher::checkServer(const AttemptContext &Context) const {
   TimePoint Now = BootClock::now();
-  bool Available = this->Server.hasReport() &&
+  // Without a configuration nothing is known of what the server tolerates.
+  bool Available = this->View.configuration() && this->Server.hasReport() &&
                    this->Server.lastReport().Service == Context.Service &&
                    this->Server.state() != ServerState::Gone;
   if (!Available) {
