mesh: ask a server whether it has turned cold

A cold server got 60 requests in a second when it turned cold between two of its reports, and 102 when its data centre was evacuated just after (19 allowed).

Cause: the reports of a server were the only word on its cold, once per heartbeat, and any report was taken for news. A server may turn cold while it runs; one whose address does not answer may come back under the same id before its next report; keys of an evacuated data centre are still served for 1.5 s; and a report from before a refused connection or the end of an evacuation that arrives after it lifted the limit.

The beginning of an evacuation and a connection that times out count as evidence of a cold; the answer to a question asked afterwards, or a report that was made afterwards, settles it.

--- a/mesh/BackendDispatcher.cpp
+++ b/mesh/BackendDispatcher.cpp
@@ -5,6 +5,7 @@
 #include "net/Event.h"
 
 #include <algorithm>
+#include <boost/asio/detached.hpp>
 #include <cmath>
 
 namespace hemlockspar {
@@ -48,6 +49,9 @@
 /// slot: a handover completes within 1.5 s unless something else fails.
 constexpr auto MaxKeyWait = std::chrono::milliseconds(1500);
 
+/// A server whose slots are in use answers its health path late.
+constexpr auto ProbeTimeout = std::chrono::milliseconds(400);
+
 HttpClient::Limits serverLimits(const MemoryBudgetPtr &Memory) {
   HttpClient::Limits Bounds;
   Bounds.Memory = Memory;
@@ -92,7 +96,7 @@
                                      const MemoryBudgetPtr &Memory)
     : Io(Io), View(View), Server(Server), Keys(Keys), HeaderCodec(Codec),
       Counters(Counters), OnConnectionRefused(std::move(OnConnectionRefused)),
-      Client(Io, serverLimits(Memory)),
+      Client(Io, serverLimits(Memory)), HealthClient(Io, serverLimits(Memory)),
       Queue(nonAdaptiveLimits(), RouteTimes,
             std::make_unique<PriorityDiscipline>(RouteTimes)),
       Ranked(Queue, RouteTimes, Standing),
@@ -132,11 +136,13 @@
   }
   if (this->EvacuatedSince) {
     this->EvacuatedSince.reset();
-    this->Server.assumeCold();
+    this->assumeCold();
     return;
   }
 
+  // Servers may have turned cold just before.
   this->EvacuatedSince = BootClock::now();
+  this->assumeCold();
   for (const auto &[Number, Waiting] : this->Waiters) {
     if (!Waiting->HasKey && this->Queue.cancel(Number)) {
       Waiting->decide(AdmissionVerdict::Shed);
@@ -292,10 +298,8 @@
   if (!Active) {
     return;
   }
-  auto Declared = Active->Services.find(Service);
-  this->ColdStart.setTolerated(Declared == Active->Services.end()
-                                   ? 0
-                                   : Declared->second.ColdRequestsPerSecond);
+  const ServiceDeclaration *Declared = Active->findService(Service);
+  this->ColdStart.setTolerated(Declared ? Declared->ColdRequestsPerSecond : 0);
   TimePoint Now = BootClock::now();
   bool WasCold = this->ColdStart.coldLeft(Now) > Duration::zero();
   this->ColdStart.setColdUntil(this->Server.coldUntil());
@@ -342,6 +346,50 @@
   }
 }
 
+void BackendDispatcher::assumeCold() {
+  TimePoint Now = BootClock::now();
+  this->Server.assumeCold(Now);
+  this->onServerChanged();
+  if (this->Probe.tryBegin(Now)) {
+    this->probeServer();
+  }
+}
+
+void BackendDispatcher::probeServer() {
+  const ConfigurationPtr &Active = this->View.configuration();
+  const ServiceDeclaration *Declared =
+      Active ? Active->findService(this->Server.service()) : nullptr;
+  bool Answers = Declared && Declared->ColdRequestsPerSecond > 0 &&
+                 !Declared->HealthPath.empty();
+  if (!Answers) {
+    this->Probe.onEnded();
+    return;
+  }
+  asio::spawn(
+      this->Io,
+      [this,
+       HealthPath = Declared->HealthPath](const asio::yield_context &Yield) {
+        TimePoint AskedAt = BootClock::now();
+        HttpRequest Request(http::verb::get, HealthPath, 11);
+        Request.set(http::field::host, "server");
+        ExchangeOptions Bounds;
+        Bounds.Deadline = AskedAt + ProbeTimeout;
+        ExchangeResult Exchange = this->HealthClient.exchange(
+            this->Server.lastReport().ServerAddress, Request, Bounds, Yield);
+        this->Probe.onEnded();
+        if (Exchange.Outcome != ExchangeOutcome::Answered) {
+          return;
+        }
+        HealthAnswer Answer = this->HeaderCodec.readHealth(Exchange.Response);
+        if (Answer.ColdLeft) {
+          this->Server.onColdStated(Answer.ServerId, *Answer.ColdLeft, AskedAt,
+                                    BootClock::now());
+          this->onServerChanged();
+        }
+      },
+      asio::detached);
+}
+
 void BackendDispatcher::logColdExcess(const AttemptContext &Context,
                                       TimePoint Now) const {
   TimePoint ColdUntil = this->Server.coldUntil();
@@ -439,6 +487,10 @@
                          Context);
   }
   this->logColdExcess(Context, Now);
+  bool Warm = !this->ColdStart.isActive(Now);
+  if (Warm && this->Probe.onSent(this->ColdStart.tolerated(), Now)) {
+    this->probeServer();
+  }
   return this->dispatch(Request, Context, Watch, Yield);
 }
 
@@ -482,6 +534,9 @@
   case ExchangeOutcome::NotSent:
     if (Exchange.ConnectionRefused) {
       this->OnConnectionRefused();
+    } else if (Exchange.ConnectionTimedOut) {
+      // It may have been down, and return before its next report.
+      this->assumeCold();
     }
     return notRunResult(AttemptReason::ServerUnavailable);
   case ExchangeOutcome::TooLate:
--- a/mesh/BackendDispatcher.h
+++ b/mesh/BackendDispatcher.h
@@ -8,6 +8,7 @@
 #include "mesh/RequestHeaderCodec.h"
 #include "mesh/WaitPolicy.h"
 #include "mesh/admission/RankedAdmission.h"
+#include "mesh/placement/ColdProbe.h"
 #include "mesh/placement/ColdStartLimiter.h"
 #include "mesh/placement/ServerPace.h"
 #include "net/HttpClient.h"
@@ -80,6 +81,8 @@
                               const AttemptContext &Context, CallerWatch &Watch,
                               const boost::asio::yield_context &Yield);
   void refuseExcessOfColdServer(TimePoint Now);
+  void assumeCold();
+  void probeServer();
   bool admit(RequestNumber Number, Waiter &Entry, const AttemptContext &Context,
              CallerWatch &Watch, const boost::asio::yield_context &Yield);
   void applyVerdicts();
@@ -105,11 +108,16 @@
   MeshMetrics &Counters;
   std::function<void()> OnConnectionRefused;
   HttpClient Client;
+
+  /// Health checks have connections of their own: their responses name no
+  /// request.
+  HttpClient HealthClient;
   ServiceTimeEstimator RouteTimes;
   AdmissionQueue Queue;
   StandingQueue Standing;
   RankedAdmission Ranked;
   ColdStartLimiter ColdStart;
+  ColdProbe Probe;
   ServerPace Pace;
   std::map<RequestNumber, Waiter *> Waiters;
   RequestNumber LastNumber = 0;
--- a/mesh/Configuration.cpp
+++ b/mesh/Configuration.cpp
@@ -41,9 +41,15 @@
   return Found == this->Routes.end() ? nullptr : &*Found;
 }
 
-bool Configuration::isKeyed(const std::string &Service) const {
+const ServiceDeclaration *
+Configuration::findService(const std::string &Service) const {
   auto Found = this->Services.find(Service);
-  return Found != this->Services.end() && Found->second.Keyed;
+  return Found == this->Services.end() ? nullptr : &Found->second;
+}
+
+bool Configuration::isKeyed(const std::string &Service) const {
+  const ServiceDeclaration *Declared = this->findService(Service);
+  return Declared && Declared->Keyed;
 }
 
 } // namespace hemlockspar
--- a/mesh/Configuration.h
+++ b/mesh/Configuration.h
@@ -77,6 +77,9 @@
 
   /// Requests per second that a cold backend server tolerates; 0 for no bound.
   double ColdRequestsPerSecond = 0;
+
+  /// Path at which a backend server tells its state; empty when it does not.
+  std::string HealthPath;
 };
 
 /// Limits on callers' requests and connections.
@@ -101,6 +104,9 @@
   /// Returns the route called \p Name, or null.
   const Route *findRouteByName(std::string_view Name) const;
 
+  /// Returns the declaration of \p Service, or null.
+  const ServiceDeclaration *findService(const std::string &Service) const;
+
   /// Whether keys of \p Service have owners.
   bool isKeyed(const std::string &Service) const;
 };
--- a/mesh/LocalServer.cpp
+++ b/mesh/LocalServer.cpp
@@ -73,8 +73,10 @@
   }
 
   this->ColdUntil = this->coldUntilAfter(Report, Now);
+  this->LastReportAt = Now;
   if (Report.Incarnation != this->LastReport.Incarnation) {
     this->LeavingSince.reset();
+    this->FirstSequenceAfterEvidence = 0;
   }
   if (Report.Leaving && !this->LeavingSince) {
     this->LeavingSince = Now;
@@ -95,11 +97,58 @@
   return true;
 }
 
+void LocalServer::assumeCold(TimePoint Now) {
+  this->ColdUntil = TimePoint::max();
+  this->AssumedColdAt = Now;
+  this->setFirstSequenceAfterEvidence(Now);
+}
+
+void LocalServer::onColdStated(const std::string &ServerId, Duration ColdLeft,
+                               TimePoint AskedAt, TimePoint Now) {
+  if (!this->HasReport || ServerId != this->LastReport.Incarnation.Id) {
+    return;
+  }
+  bool Assumed = this->ColdUntil == TimePoint::max();
+  if (Assumed && AskedAt < this->AssumedColdAt) {
+    return;
+  }
+  bool Cold = ColdLeft > Duration::zero();
+  TimePoint Stated = Cold ? Now + ColdLeft : NeverCold;
+  this->ColdUntil = Assumed ? Stated : std::max(this->ColdUntil, Stated);
+  if (Cold) {
+    this->setFirstSequenceAfterEvidence(Now);
+  }
+}
+
+void LocalServer::setFirstSequenceAfterEvidence(TimePoint Now) {
+  if (!this->HasReport) {
+    this->FirstSequenceAfterEvidence = 0;
+    return;
+  }
+  // Reports that were due by now may still be on their way.
+  Duration Interval = std::max<Duration>(this->Config.HeartbeatInterval,
+                                         std::chrono::milliseconds(1));
+  auto Due = static_cast<std::uint64_t>(
+      std::max<Duration>(Now - this->LastReportAt, Duration::zero()) /
+      Interval);
+  this->FirstSequenceAfterEvidence = this->LastReport.Sequence + Due + 2;
+}
+
+bool LocalServer::mayPrecedeEvidence(const ServerReport &Report) const {
+  return Report.Incarnation == this->LastReport.Incarnation &&
+         Report.Sequence < this->FirstSequenceAfterEvidence;
+}
+
 TimePoint LocalServer::coldUntilAfter(const ServerReport &Report,
                                       TimePoint Now) const {
   if (Report.ColdLeft) {
-    return *Report.ColdLeft > Duration::zero() ? Now + *Report.ColdLeft
-                                               : NeverCold;
+    bool Cold = *Report.ColdLeft > Duration::zero();
+    TimePoint Stated = Cold ? Now + *Report.ColdLeft : NeverCold;
+    return this->mayPrecedeEvidence(Report) ? std::max(this->ColdUntil, Stated)
+                                            : Stated;
+  }
+  if (this->mayPrecedeEvidence(Report)) {
+    return this->ColdUntil;
   }
   bool Unknown = Report.Incarnation != this->LastReport.Incarnation ||
                  this->ColdUntil == TimePoint::max();
@@ -112,9 +161,9 @@
                                             : Now + Declared->second.ColdStart;
 }
 
-void LocalServer::onConnectionRefused() {
+void LocalServer::onConnectionRefused(TimePoint Now) {
   this->ConnectionRefused = true;
-  this->assumeCold();
+  this->assumeCold(Now);
 }
 
 ServerState LocalServer::state() const {
--- a/mesh/LocalServer.h
+++ b/mesh/LocalServer.h
@@ -43,7 +43,7 @@
   bool markLeaving(const std::string &ServerId, TimePoint Now);
 
   /// Its address refused a connection.
-  void onConnectionRefused();
+  void onConnectionRefused(TimePoint Now);
 
   bool hasReport() const { return this->HasReport; }
 
@@ -62,8 +62,13 @@
   TimePoint coldUntil() const { return this->ColdUntil; }
 
   /// Evidence that it may have become cold unnoticed: it counts as cold until a
-  /// later report says otherwise.
-  void assumeCold() { this->ColdUntil = TimePoint::max(); }
+  /// report says otherwise that was made after \p Now.
+  void assumeCold(TimePoint Now);
+
+  /// The server \p ServerId, asked at \p AskedAt, said at \p Now that it
+  /// stays cold for \p ColdLeft.
+  void onColdStated(const std::string &ServerId, Duration ColdLeft,
+                    TimePoint AskedAt, TimePoint Now);
 
   /// Whether operators ask for the evacuation of its data centre.
   bool isEvacuated() const {
@@ -83,6 +88,8 @@
 private:
   bool isForeign(const ServerReport &Report) const;
   bool isOlder(const ServerReport &Report) const;
+  bool mayPrecedeEvidence(const ServerReport &Report) const;
+  void setFirstSequenceAfterEvidence(TimePoint Now);
   TimePoint coldUntilAfter(const ServerReport &Report, TimePoint Now) const;
 
   const MeshSettings &Config;
@@ -92,6 +99,12 @@
   bool ConnectionRefused = false;
   TimePoint ColdUntil = NeverCold;
 
+  /// Reports of the current incarnation before this one may have been made
+  /// before the latest evidence that the server is cold.
+  std::uint64_t FirstSequenceAfterEvidence = 0;
+  TimePoint AssumedColdAt;
+  TimePoint LastReportAt;
+
   bool Recovered = false;
 
   /// When it first announced its shutdown; the earliest time when that was to
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -377,7 +377,7 @@
 }
 
 void MeshDaemon::onServerRefusedConnection() {
-  this->Server.onConnectionRefused();
+  this->Server.onConnectionRefused(BootClock::now());
   this->KeyManager.onConnectionRefused(BootClock::now());
   this->onServerChanged();
 }
--- a/mesh/RequestHeaderCodec.h
+++ b/mesh/RequestHeaderCodec.h
@@ -58,6 +58,15 @@
   bool Credible = false;
 };
 
+/// The parts of a response of the health path that are evaluated.
+struct HealthAnswer {
+  /// Empty when not stated.
+  std::string ServerId;
+
+  /// How long the server stays cold; empty when not stated.
+  std::optional<Duration> ColdLeft;
+};
+
 /// Reads and writes the HTTP headers of callers and backend servers. No other
 /// code depends on these headers.
 class RequestHeaderCodec {
@@ -72,6 +81,9 @@
 
   virtual ServerAnswer readAnswer(const HttpResponse &Response) const = 0;
 
+  /// Reads the response of a backend server's health path.
+  virtual HealthAnswer readHealth(const HttpResponse &Response) const = 0;
+
   /// Marks a response made by this daemon as the response to \p RequestId and
   /// sets the time to retry when \p RetryAfter is given.
   virtual void
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -163,6 +163,8 @@
     ExchangeResult Result = failedExchange(ExchangeOutcome::NotSent,
                                            "connect: " + Failure.message());
     Result.ConnectionRefused = Failure == asio::error::connection_refused;
+    Result.ConnectionTimedOut = Failure == boost::beast::error::timeout &&
+                                BootClock::now() < Options.Deadline;
     return Result;
   }
   if (Watch && Watch->Disconnected) {
--- a/net/HttpClient.h
+++ b/net/HttpClient.h
@@ -68,6 +68,10 @@
   /// With NotSent: the connection was refused, as no process listens at the
   /// address.
   bool ConnectionRefused = false;
+
+  /// With NotSent: the address did not answer within the time limit for
+  /// connections.
+  bool ConnectionTimedOut = false;
 };
 
 /// Sends requests over pooled connections. A connection carries one exchange
--- a/tests/mesh/LocalServerTest.cpp
+++ b/tests/mesh/LocalServerTest.cpp
@@ -83,7 +83,7 @@
 Test(LocalServer, RefusedConnectionHoldsUntilTheNextReport) {
   ServerFixture Fixture;
   Fixture.Server.applyReport(Fixture.report("a", 1, 1), Fixture.Now);
-  Fixture.Server.onConnectionRefused();
+  Fixture.Server.onConnectionRefused(Fixture.Now);
   cr_assert(Fixture.Server.state() == ServerState::Gone);
   Fixture.Server.applyReport(Fixture.report("a", 1, 2), Fixture.Now);
   cr_assert(Fixture.Server.state() == ServerState::Ready);
@@ -154,7 +154,7 @@
   Warm.ColdLeft = Duration::zero();
   Fixture.Server.applyReport(Warm, Fixture.Now);
   cr_assert_lt(Fixture.Server.coldUntil(), Fixture.Now);
-  Fixture.Server.onConnectionRefused();
+  Fixture.Server.onConnectionRefused(Fixture.Now);
   cr_assert_gt(Fixture.Server.coldUntil(), Fixture.Now + milliseconds(60000));
 
   ServerReport Cold = Fixture.report("b", 2, 1);
@@ -164,3 +164,43 @@
   Fixture.Server.applyReport(Fixture.report("c", 3, 1), Fixture.Now);
   cr_assert_eq(Fixture.Server.coldUntil(), Fixture.Now + milliseconds(3000));
 }
+
+/// A report that was made before the evidence of a cold and arrives after it
+/// must not lift the limit of a server that has turned cold meanwhile.
+Test(LocalServer, LateReportClearsNoEvidenceOfACold) {
+  ServerFixture Fixture;
+  Fixture.Config.HeartbeatInterval = milliseconds(800);
+  ServerReport Warm = Fixture.report("a", 1, 1);
+  Warm.ColdLeft = Duration::zero();
+  Fixture.Server.applyReport(Warm, Fixture.Now);
+  TimePoint AssumedAt = Fixture.Now + milliseconds(1000);
+  Fixture.Server.assumeCold(AssumedAt);
+
+  // Two reports were due between the last one and the evidence.
+  for (std::uint64_t Sequence : {2, 3}) {
+    Warm.Sequence = Sequence;
+    Fixture.Server.applyReport(Warm, AssumedAt + milliseconds(50));
+    cr_assert(Fixture.Server.coldUntil() == TimePoint::max());
+  }
+  Warm.Sequence = 4;
+  Fixture.Server.applyReport(Warm, AssumedAt + milliseconds(900));
+  cr_assert_lt(Fixture.Server.coldUntil(), AssumedAt);
+}
+
+/// An answer to a question from before the evidence does not lift the limit, a
+/// later one does, and one of another server changes nothing.
+Test(LocalServer, StatementsCountFromWhenTheyWereAskedFor) {
+  ServerFixture Fixture;
+  Fixture.Server.applyReport(Fixture.report("a", 1, 1), Fixture.Now);
+  Fixture.Server.onColdStated("b", milliseconds(500), Fixture.Now, Fixture.Now);
+  cr_assert_lt(Fixture.Server.coldUntil(), Fixture.Now);
+  Fixture.Server.onColdStated("a", milliseconds(500), Fixture.Now, Fixture.Now);
+  cr_assert_eq(Fixture.Server.coldUntil(), Fixture.Now + milliseconds(500));
+
+  TimePoint AssumedAt = Fixture.Now + milliseconds(100);
+  Fixture.Server.assumeCold(AssumedAt);
+  Fixture.Server.onColdStated("a", {}, Fixture.Now, AssumedAt);
+  cr_assert(Fixture.Server.coldUntil() == TimePoint::max());
+  Fixture.Server.onColdStated("a", {}, AssumedAt, AssumedAt);
+  cr_assert_lt(Fixture.Server.coldUntil(), AssumedAt);
+}
