mesh: check the operators' rows whenever a call for them is unanswered

The check of the previous change was left out while the last call of the feed had failed, and while the whole table was read again after its history had been dropped. A wait or a read that is lost then delayed a configuration as before: for 14 s after a failure, for up to 6 s during a read.

Now only a feed that pauses after a failure is not checked, since its next call follows shortly.

StoreSync.WaitThatIsLostAfterAFailureIsNotChecked and LostReadAfterTheHistoryWasDroppedIsNotChecked failed before and pass.

--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -95,6 +95,7 @@
 }
 
 void StoreSync::poll(TableFeed &Feed) {
+  Feed.Paused = false;
   if (Feed.HasRead) {
     Feed.Version =
         std::max(Feed.Version, this->View.completeVersion(Feed.Table));
@@ -136,6 +137,7 @@
 }
 
 void StoreSync::pollAfter(TableFeed &Feed, Duration Pause) {
+  Feed.Paused = true;
   Feed.Timer.expires_after(Pause);
   Feed.Timer.async_wait([this, &Feed](const boost::system::error_code &Error) {
     if (!Error) {
@@ -201,11 +203,9 @@
 }
 
 void StoreSync::checkOperatorRows(TimePoint Now) {
-  // While calls fail, the feed itself asks again.
   TableFeed &Feed = this->ConfigurationFeed;
   TableFreshness &Freshness = this->View.operatorFreshness();
-  bool Follows = Feed.HasRead && Feed.Failures == 0;
-  if (!Follows || this->CheckPending || !Freshness.isCheckDue(Now)) {
+  if (Feed.Paused || this->CheckPending || !Freshness.isCheckDue(Now)) {
     return;
   }
 
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -67,6 +67,9 @@
     /// Calls that failed in a row.
     unsigned Failures = 0;
 
+    /// No call is in progress; the next one follows after a pause.
+    bool Paused = false;
+
     /// When the last wait for changes began, and how long it was to be.
     TimePoint FollowedAt;
     Duration FollowWait{};
--- /dev/null
+++ b/tests/mesh/configuration/StoreSyncTest.cpp
@@ -0,0 +1,102 @@
+#include "mesh/StoreSync.h"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockspar;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A store whose calls stay unanswered until the test answers them.
+class UnansweringStore : public Store {
+public:
+  void commit(const TableTransaction &, CommitCallback) override {}
+  void readTable(const std::string &Table, ReadCallback OnDone) override {
+    this->Reads[Table] = std::move(OnDone);
+  }
+  void follow(const std::string &Table, RowVersion, Duration Wait,
+              FollowCallback OnDone) override {
+    if (Table == tables::Operator) {
+      this->Waits.push_back(Wait);
+      this->OnFollowed = std::move(OnDone);
+    }
+  }
+
+  void answerRead(RowVersion Version) {
+    StoreRows Rows;
+    Rows.Table = tables::Operator;
+    Rows.Version = Version;
+    Rows.Complete = true;
+    this->Reads.at(tables::Operator)(Rows);
+  }
+
+  std::map<std::string, ReadCallback> Reads;
+
+  /// Requested waits for changes of the operators' table.
+  std::vector<Duration> Waits;
+  FollowCallback OnFollowed;
+};
+
+class NoConfigurations : public ConfigurationCodec {
+public:
+  std::string rowName() const override { return "config"; }
+  std::optional<std::string>
+  evacuatedDataCenter(const std::string &) const override {
+    return std::nullopt;
+  }
+  absl::StatusOr<Configuration> decode(const std::string &) const override {
+    return absl::InvalidArgumentError("none");
+  }
+};
+
+struct SyncFixture {
+  SyncFixture() { this->Sync.start(); }
+
+  boost::asio::io_context Io;
+  UnansweringStore Remote;
+  MeshView View;
+  NoConfigurations Codec;
+  MeshSettings Config;
+  StoreSync Sync{Io, Remote, View, Codec, Config};
+};
+
+} // namespace
+
+/// A wait that is lost after an earlier call has failed must not go unnoticed.
+Test(StoreSync, WaitThatIsLostAfterAFailureIsNotChecked) {
+  SyncFixture Fixture;
+  Fixture.Remote.answerRead(10);
+  Fixture.Remote.OnFollowed(FollowResult());
+  Fixture.Io.run_for(seconds(1));
+  cr_assert_eq(Fixture.Remote.Waits.size(), 2);
+
+  Fixture.Sync.checkOperatorRows(BootClock::now() + seconds(2));
+  cr_assert_eq(Fixture.Remote.Waits.size(), 3);
+  cr_assert(Fixture.Remote.Waits.back() == Duration::zero());
+
+  // One check at a time.
+  Fixture.Sync.checkOperatorRows(BootClock::now() + seconds(5));
+  cr_assert_eq(Fixture.Remote.Waits.size(), 3);
+}
+
+/// While the feed pauses after a failure, the store is not asked twice.
+Test(StoreSync, PausedFeedIsNotChecked) {
+  SyncFixture Fixture;
+  Fixture.Remote.answerRead(10);
+  Fixture.Remote.OnFollowed(FollowResult());
+  Fixture.Sync.checkOperatorRows(BootClock::now() + seconds(2));
+  cr_assert_eq(Fixture.Remote.Waits.size(), 1);
+}
+
+/// A read of the whole table that is lost after the history was dropped must
+/// not go unnoticed either.
+Test(StoreSync, LostReadAfterTheHistoryWasDroppedIsNotChecked) {
+  SyncFixture Fixture;
+  Fixture.Remote.answerRead(10);
+  FollowResult Dropped;
+  Dropped.Outcome = FollowOutcome::HistoryLost;
+  Fixture.Remote.OnFollowed(Dropped);
+  Fixture.Sync.checkOperatorRows(BootClock::now() + seconds(2));
+  cr_assert_eq(Fixture.Remote.Waits.size(), 2);
+}
