mesh: tell of the operators' rows in a header of its own

The fields added to Hs-Hop made daemons of the version before take each answer for one of unknown outcome (found by reading; docs/OUTER_NAMES.md). The header that a backend server may send under that name does not pass on.

--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
+#include <algorithm>
 #include <cmath>
 
 namespace hemlockspar::hop {
@@ -13,8 +14,13 @@
 
 /// Size of a body whose admission is asked for.
 constexpr char AdmissionHeader[] = "Hs-Body-Bytes";
+
+/// Newest change of the operators' table and the age of that knowledge in
+/// milliseconds. A header of its own, which daemons of earlier versions ignore.
+constexpr char OperatorRowsHeader[] = "Hs-Operator-Rows";
+constexpr std::size_t OperatorRowsFieldCount = 2;
 constexpr std::size_t ContextFieldCount = 9;
-constexpr std::size_t ResultFieldCount = 23;
+constexpr std::size_t ResultFieldCount = 21;
 
 /// Fractions are encoded as integer hundredths.
 constexpr double Hundredths = 100;
@@ -22,9 +28,10 @@
 /// Placeholder for a field without a value.
 constexpr char NoValue[] = "-";
 
-/// Returns the fields of the header; empty when there is no header.
-std::vector<std::string> splitHeader(const http::fields &Fields) {
-  std::string Text = headerValue(Fields, Header);
+/// Returns the fields of the header \p Name; empty when there is none.
+std::vector<std::string> splitHeader(const http::fields &Fields,
+                                     const char *Name) {
+  std::string Text = headerValue(Fields, Name);
   return Text.empty() ? std::vector<std::string>()
                       : std::vector<std::string>(absl::StrSplit(Text, ' '));
 }
@@ -59,7 +66,7 @@
 }
 
 std::optional<AttemptContext> takeContext(HttpRequest &Request, TimePoint Now) {
-  std::vector<std::string> Fields = splitHeader(Request);
+  std::vector<std::string> Fields = splitHeader(Request, Header);
   Request.erase(Header);
   if (Fields.size() != ContextFieldCount) {
     return std::nullopt;
@@ -87,10 +94,6 @@
       Answered ? std::move(Result.Response)
                : HttpResponse(http::status::service_unavailable, 11);
   ServerLoad Load = Result.Load.value_or(ServerLoad{.Slots = 0});
-  std::string Age =
-      Result.OperatorRows.Age
-          ? std::to_string(toMilliseconds(*Result.OperatorRows.Age))
-          : NoValue;
 
   Response.set(
       Header,
@@ -108,19 +111,32 @@
                    " ", toMilliseconds(Load.ColdLeft), " ",
                    std::lround(Load.ColdRequestsPerSecond * Hundredths), " ",
                    std::lround(Load.Pace * Hundredths), " ",
-                   toMilliseconds(Load.LinkBacklog), " ",
-                   Result.OperatorRows.NewestChange, " ", Age));
+                   toMilliseconds(Load.LinkBacklog)));
+
+  // The backend server may have set one.
+  Response.erase(OperatorRowsHeader);
+  if (Result.OperatorRows.Age) {
+    Response.set(OperatorRowsHeader,
+                 absl::StrCat(Result.OperatorRows.NewestChange, " ",
+                              toMilliseconds(*Result.OperatorRows.Age)));
+  }
   return Response;
 }
 
 AttemptResult takeResult(HttpResponse Response) {
-  std::vector<std::string> Fields = splitHeader(Response);
-  Response.erase(Header);
+  std::vector<std::string> Fields = splitHeader(Response, Header);
+  std::vector<std::string> Rows = splitHeader(Response, OperatorRowsHeader);
+  erase(Response);
   if (Fields.size() != ResultFieldCount) {
     return unknownResult(AttemptReason::WrongAnswer);
   }
 
   AttemptResult Result;
+  if (Rows.size() == OperatorRowsFieldCount) {
+    Result.OperatorRows = {
+        static_cast<RowVersion>(parseNumber(Rows[0])),
+        std::max<Duration>(parseMilliseconds(Rows[1]), Duration::zero())};
+  }
   Result.Outcome =
       requestOutcomeOf(Fields[0]).value_or(RequestOutcome::Unknown);
   Result.Reason =
@@ -153,11 +169,6 @@
   if (Load.Slots > 0) {
     Result.Load = Load;
   }
-  Result.OperatorRows.NewestChange =
-      static_cast<RowVersion>(parseNumber(Fields[21]));
-  if (Fields[22] != NoValue) {
-    Result.OperatorRows.Age = parseMilliseconds(Fields[22]);
-  }
   Result.Response = std::move(Response);
   return Result;
 }
@@ -178,6 +189,7 @@
 void erase(http::fields &Fields) {
   Fields.erase(Header);
   Fields.erase(AdmissionHeader);
+  Fields.erase(OperatorRowsHeader);
 }
 
 } // namespace hemlockspar::hop
--- a/tests/mesh/HopCodecTest.cpp
+++ b/tests/mesh/HopCodecTest.cpp
@@ -59,6 +59,18 @@
   cr_assert(Read.Load && Read.Load->Slots == 6 && Read.Load->Waiting == 1);
 }
 
+/// What a backend server says of the operators' table must not reach other
+/// daemons, and daemons that say nothing of it are understood.
+Test(HopCodec, OperatorRowsComeFromDaemonsOnly) {
+  AttemptResult Result;
+  Result.Outcome = RequestOutcome::Answered;
+  Result.Response.set("Hs-Operator-Rows", "99 0");
+  AttemptResult Read = hop::takeResult(hop::writeResult(std::move(Result)));
+  cr_assert(Read.Outcome == RequestOutcome::Answered);
+  cr_assert_not(Read.OperatorRows.Age.has_value());
+  cr_assert(Read.Response.find("Hs-Operator-Rows") == Read.Response.end());
+}
+
 /// A response without a valid header may come from a request that ran.
 Test(HopCodec, SilenceIsTakenForUnknown) {
   HttpResponse Foreign(http::status::service_unavailable, 11);
