--- a/tests/mesh/placement/ColdServerMeshTest.cpp
+++ b/tests/mesh/placement/ColdServerMeshTest.cpp
@@ -25,8 +25,8 @@
 /// one has been answered.
 class Callers {
 public:
-  Callers(const PlatformMesh &Mesh, int Index, std::string Path, bool Keyed,
-          int Count) {
+  Callers(const PlatformMesh &Mesh, int Index, const std::string &Path,
+          bool Keyed, int Count) {
     for (int Caller = 0; Caller < Count; ++Caller) {
       this->Threads.emplace_back([this, &Mesh, Index, Path, Keyed, Caller] {
         this->run(Mesh.callerAddress(Index), Path, Keyed, Caller);
