mesh: let a few daemons ask early, and tell what was learned meanwhile

Cause: what a check learned hardly spread. A response told the age at the moment of its writing, but the receiver could only count it from its own request, so each step added the time that the request took; and all daemons became due within 0.6 s, less than it takes to spread.

Now a response tells the age as of the arrival of the request, two daemons a second of the whole fleet ask early, the others after 1.7 to 2 s, and the wait for changes is 30 s. A change that a check finds replaces the pending wait.

--- a/mesh/HopCodec.cpp
+++ b/mesh/HopCodec.cpp
@@ -3,7 +3,6 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
-#include <algorithm>
 #include <cmath>
 
 namespace hemlockspar::hop {
@@ -15,8 +14,9 @@
 /// Size of a body whose admission is asked for.
 constexpr char AdmissionHeader[] = "Hs-Body-Bytes";
 
-/// Newest change of the operators' table and the age of that knowledge in
-/// milliseconds. A header of its own, which daemons of earlier versions ignore.
+/// Newest change of the operators' table, and how many milliseconds before the
+/// arrival of the request nothing newer had been made. A header of its own,
+/// which daemons of earlier versions ignore.
 constexpr char OperatorRowsHeader[] = "Hs-Operator-Rows";
 constexpr std::size_t OperatorRowsFieldCount = 2;
 constexpr std::size_t ContextFieldCount = 9;
@@ -116,9 +116,11 @@
   // The backend server may have set one.
   Response.erase(OperatorRowsHeader);
   if (Result.OperatorRows.Age) {
-    Response.set(OperatorRowsHeader,
-                 absl::StrCat(Result.OperatorRows.NewestChange, " ",
-                              toMilliseconds(*Result.OperatorRows.Age)));
+    auto Age =
+        std::chrono::ceil<std::chrono::milliseconds>(*Result.OperatorRows.Age);
+    Response.set(
+        OperatorRowsHeader,
+        absl::StrCat(Result.OperatorRows.NewestChange, " ", Age.count()));
   }
   return Response;
 }
@@ -133,9 +135,8 @@
 
   AttemptResult Result;
   if (Rows.size() == OperatorRowsFieldCount) {
-    Result.OperatorRows = {
-        static_cast<RowVersion>(parseNumber(Rows[0])),
-        std::max<Duration>(parseMilliseconds(Rows[1]), Duration::zero())};
+    Result.OperatorRows = {static_cast<RowVersion>(parseNumber(Rows[0])),
+                           parseMilliseconds(Rows[1])};
   }
   Result.Outcome =
       requestOutcomeOf(Fields[0]).value_or(RequestOutcome::Unknown);
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -128,7 +128,8 @@
   }
   void onPeerFreshness(const FreshnessReport &Theirs,
                        TimePoint AskedAt) override {
-    this->View.operatorFreshness().confirmByPeer(Theirs, AskedAt);
+    this->View.operatorFreshness().confirmByPeer(Theirs, AskedAt,
+                                                 BootClock::now());
   }
   void onPeerConfiguration(std::uint64_t Version) override {
     this->Sync.onPeerConfiguration(Version);
--- a/mesh/RequestRouter.cpp
+++ b/mesh/RequestRouter.cpp
@@ -680,7 +680,7 @@
       .with("ms", toMilliseconds(BootClock::now() - Now));
   Result.ConfigurationVersion = this->activeVersion();
   Result.View = this->View.versions();
-  Result.OperatorRows = this->View.operatorFreshness().report(BootClock::now());
+  Result.OperatorRows = this->View.operatorFreshness().report(Now);
   if (Context->Key && Result.Reason == AttemptReason::NotOwner) {
     this->addOwnerHint(Result, *Context);
   }
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -9,10 +9,13 @@
 
 namespace {
 
-/// Upper bound of a wait for configuration changes that an outage has left
-/// without notifications. A newer version seen at other instances usually shows
-/// this much earlier.
-constexpr auto ConfigurationWait = std::chrono::seconds(9);
+/// Checks bound the time for which a lost wait goes unnoticed, so it may be as
+/// long as the store allows.
+constexpr auto ConfigurationWait = std::chrono::seconds(30);
+
+/// Early checks of the whole fleet. What one finds reaches all daemons that
+/// exchange requests within about a second.
+constexpr double EarlyChecksPerSecond = 2;
 
 /// A configuration that is active at other instances must arrive within this
 /// time; otherwise the table is read.
@@ -81,6 +84,7 @@
 
 void StoreSync::start() {
   this->StartedAt = BootClock::now();
+  this->CheckConsideredAt = this->StartedAt;
   this->poll(this->ConfigurationFeed);
   this->poll(this->InstanceFeed);
   this->poll(this->KeyFeed);
@@ -101,9 +105,12 @@
         std::max(Feed.Version, this->View.completeVersion(Feed.Table));
     Feed.FollowedAt = BootClock::now();
     Feed.FollowWait = this->stretched(Feed.MaxWait, MaxStoreWait);
+    unsigned Number = ++Feed.CallNumber;
     this->StoreClient.follow(Feed.Table, Feed.Version, Feed.FollowWait,
-                             [this, &Feed](const FollowResult &Result) {
-                               this->onFollowResult(Feed, Result);
+                             [this, &Feed, Number](const FollowResult &Result) {
+                               if (Number == Feed.CallNumber) {
+                                 this->onFollowResult(Feed, Result);
+                               }
                              });
     return;
   }
@@ -205,13 +212,20 @@
 void StoreSync::checkOperatorRows(TimePoint Now) {
   TableFeed &Feed = this->ConfigurationFeed;
   TableFreshness &Freshness = this->View.operatorFreshness();
-  if (Feed.Paused || this->CheckPending || !Freshness.isCheckDue(Now)) {
+  std::uniform_real_distribution<double> Draw(0, 1);
+  double Expected =
+      EarlyChecksPerSecond *
+      std::chrono::duration<double>(Now - this->CheckConsideredAt).count() /
+      static_cast<double>(
+          std::max<std::size_t>(this->View.instances().size(), 1));
+  this->CheckConsideredAt = Now;
+  bool Early = Draw(this->Random) < Expected;
+  if (Feed.Paused || this->CheckPending || !Freshness.isCheckDue(Now, Early)) {
     return;
   }
 
   this->CheckPending = true;
-  Freshness.onCheckBegun(
-      Now, std::uniform_real_distribution<double>(0, 1)(this->Random));
+  Freshness.onCheckBegun(Now, Draw(this->Random));
   this->StoreClient.follow(Feed.Table, Feed.Version, Duration::zero(),
                            [this, Now](const FollowResult &Result) {
                              this->CheckPending = false;
@@ -240,6 +254,10 @@
   this->onOperatorRows(Result.Rows, SentAt, Duration::zero());
   this->applyRows(Feed, Result.Rows);
   Feed.Version = std::max(Feed.Version, Result.Rows.Version);
+  if (!Result.Rows.Rows.empty() && Feed.HasRead) {
+    // The pending wait is lost, or behind.
+    this->poll(Feed);
+  }
 }
 
 Duration StoreSync::pauseAfterChanges(const TableFeed &Feed) const {
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -67,6 +67,9 @@
     /// Calls that failed in a row.
     unsigned Failures = 0;
 
+    /// Number of the current call; a call with another number was given up.
+    unsigned CallNumber = 0;
+
     /// No call is in progress; the next one follows after a pause.
     bool Paused = false;
 
@@ -115,6 +118,9 @@
   boost::asio::steady_timer CatchUpTimer;
   bool CatchingUp = false;
 
+  /// When a check of the operators' table was last considered.
+  TimePoint CheckConsideredAt;
+
   /// Whether a check of the operators' table is unanswered.
   bool CheckPending = false;
   std::mt19937_64 Random;
--- a/mesh/configuration/TableFreshness.cpp
+++ b/mesh/configuration/TableFreshness.cpp
@@ -9,8 +9,11 @@
 /// The store is asked when nothing has been confirmed for a random time between
 /// these. With the call itself this stays below the shortest time in which
 /// operators expect a configuration to be in force.
-constexpr auto MinCheckAge = std::chrono::milliseconds(1000);
-constexpr auto MaxCheckAge = std::chrono::milliseconds(1700);
+constexpr auto MinCheckAge = std::chrono::milliseconds(1700);
+constexpr auto MaxCheckAge = std::chrono::milliseconds(2000);
+
+/// An early check confirms nothing new before this.
+constexpr auto EarlyCheckAge = std::chrono::milliseconds(300);
 
 /// Minimum time between two checks.
 constexpr auto MinCheckInterval = std::chrono::milliseconds(1000);
@@ -29,16 +32,22 @@
 }
 
 void TableFreshness::confirmByPeer(const FreshnessReport &Theirs,
-                                   TimePoint AskedAt) {
+                                   TimePoint AskedAt, TimePoint Now) {
   // Nothing changed between NewestChange and the moment that they tell of, so a
-  // view that includes NewestChange was complete at that moment.
+  // view that includes NewestChange was complete at that moment. The request
+  // arrived after it was sent, so the moment is not taken for a later one.
   if (this->AsOf && Theirs.Age && Theirs.NewestChange <= this->Complete) {
-    this->AsOf = std::max(*this->AsOf, AskedAt - *Theirs.Age);
+    this->AsOf = std::max(*this->AsOf, std::min(AskedAt - *Theirs.Age, Now));
   }
 }
 
-FreshnessReport TableFreshness::report(TimePoint Now) const {
-  return {this->NewestChange, this->age(Now)};
+FreshnessReport TableFreshness::report(TimePoint ArrivedAt) const {
+  FreshnessReport Report;
+  Report.NewestChange = this->NewestChange;
+  if (this->AsOf) {
+    Report.Age = ArrivedAt - *this->AsOf;
+  }
+  return Report;
 }
 
 std::optional<Duration> TableFreshness::age(TimePoint Now) const {
@@ -47,9 +56,10 @@
                     : std::nullopt;
 }
 
-bool TableFreshness::isCheckDue(TimePoint Now) const {
+bool TableFreshness::isCheckDue(TimePoint Now, bool Early) const {
   bool Checking = this->CheckedAt && Now - *this->CheckedAt < MinCheckInterval;
-  return this->AsOf && Now - *this->AsOf >= this->CheckAge && !Checking;
+  Duration DueAge = Early ? EarlyCheckAge : this->CheckAge;
+  return this->AsOf && Now - *this->AsOf >= DueAge && !Checking;
 }
 
 void TableFreshness::onCheckBegun(TimePoint Now, double Jitter) {
--- a/mesh/configuration/TableFreshness.h
+++ b/mesh/configuration/TableFreshness.h
@@ -7,8 +7,9 @@
 
 namespace hemlockspar {
 
-/// What a daemon tells others of its knowledge of a table: no change after
-/// NewestChange had been made Age ago.
+/// What a daemon tells another in the response to a request: no change after
+/// NewestChange had been made at the moment that was Age before the request
+/// arrived. The moment may be after the arrival; Age is negative then.
 struct FreshnessReport {
   RowVersion NewestChange = 0;
 
@@ -34,16 +35,20 @@
 
   /// Another daemon told \p Theirs in its response to a request of \p AskedAt.
   /// It confirms what is known here if no change is missing here.
-  void confirmByPeer(const FreshnessReport &Theirs, TimePoint AskedAt);
+  void confirmByPeer(const FreshnessReport &Theirs, TimePoint AskedAt,
+                     TimePoint Now);
 
-  FreshnessReport report(TimePoint Now) const;
+  /// For the response to a request that arrived at \p ArrivedAt.
+  FreshnessReport report(TimePoint ArrivedAt) const;
 
   /// Time since the last confirmed moment; empty before the first.
   std::optional<Duration> age(TimePoint Now) const;
 
-  /// Whether the store should be asked for changes now. A check that has begun
-  /// is given time for its response.
-  bool isCheckDue(TimePoint Now) const;
+  /// Whether the store should be asked for changes now. \p Early is set for a
+  /// few daemons of the fleet, drawn at random, so that what they learn spreads
+  /// before the others have to ask. A check that has begun is given time for
+  /// its response.
+  bool isCheckDue(TimePoint Now, bool Early) const;
 
   /// A check has begun. \p Jitter from 0 to 1 differs between daemons, so that
   /// they do not all check at the same moment.
