--- a/net/HttpClient.h
+++ b/net/HttpClient.h
@@ -69,8 +69,8 @@
   /// address.
   bool ConnectionRefused = false;
 
-  /// With NotSent: the address did not answer within the time limit for
-  /// connections.
+  /// With NotSent: no connection was established within ConnectTimeout, though
+  /// the deadline had not passed.
   bool ConnectionTimedOut = false;
 };
 
