mesh: log slow checks, failed relays and the age of the knowledge at each request

Added: confirmed_ms in 'route request', 'store slow_check', 'store relay_failed', histograms of the age at each request and of the duration of checks, a counter of checks that failed. No logic changes.

--- a/mesh/CountingStore.cpp
+++ b/mesh/CountingStore.cpp
@@ -23,7 +23,19 @@
 void CountingStore::follow(const std::string &Table, RowVersion After,
                            Duration Wait, FollowCallback OnDone) {
   this->Counters.onStoreCall("follow", Table);
-  this->Wrapped->follow(Table, After, Wait, std::move(OnDone));
+  if (Table != tables::Operator || Wait > Duration::zero()) {
+    this->Wrapped->follow(Table, After, Wait, std::move(OnDone));
+    return;
+  }
+
+  TimePoint SentAt = BootClock::now();
+  this->Wrapped->follow(
+      Table, After, Wait,
+      [this, SentAt, OnDone = std::move(OnDone)](const FollowResult &Result) {
+        this->Counters.recordConfigurationCheck(
+            Result.Outcome != FollowOutcome::Failed, BootClock::now() - SentAt);
+        OnDone(Result);
+      });
 }
 
 } // namespace hemlockspar
--- a/mesh/FailoverStoreTransport.cpp
+++ b/mesh/FailoverStoreTransport.cpp
@@ -155,7 +155,8 @@
     HttpRequest Call = Request;
     Call.set(relay::Call, std::to_string(toMilliseconds(Timeout)));
 
-    TimePoint Deadline = BootClock::now() + Timeout + RelaySlack;
+    TimePoint SentAt = BootClock::now();
+    TimePoint Deadline = SentAt + Timeout + RelaySlack;
     ExchangeResult Result =
         this->PeerClient.exchange(Peer, Call, {.Deadline = Deadline}, Yield);
     std::string RelayOutcome = headerValue(Result.Response, relay::Result);
@@ -165,6 +166,13 @@
       return Result;
     }
 
+    LogLine(LogLevel::Info, "store", "relay_failed")
+        .with("peer", Peer.toText())
+        .with("target", std::string(Request.target()))
+        .with("outcome", RelayOutcome.empty() ? nameOf(Result.Outcome)
+                                              : RelayOutcome.c_str())
+        .with("error", Result.Error)
+        .with("ms", toMilliseconds(BootClock::now() - SentAt));
     ++this->NextPeer;
     bool MayHaveRun = Result.Outcome == ExchangeOutcome::Ambiguous ||
                       RelayOutcome == nameOf(ExchangeOutcome::Ambiguous);
--- a/mesh/MeshMetrics.cpp
+++ b/mesh/MeshMetrics.cpp
@@ -4,6 +4,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace hemlockspar {
 
@@ -77,6 +78,18 @@
       ConfigurationAge(gauge(*Registry, "hemlockspar_configuration_age_seconds",
                              "time since the store last confirmed the "
                              "operators' rows")),
+      RequestConfigurationAge(
+          histogram(*Registry, "hemlockspar_request_configuration_age_seconds",
+                    "age of the configuration that requests are handled with")),
+      ConfigurationCheckSeconds(
+          histogram(*Registry, "hemlockspar_configuration_check_seconds",
+                    "time that checks of the operators' rows took")),
+      ConfigurationCheckFailures(
+          prometheus::BuildCounter()
+              .Name("hemlockspar_configuration_check_failures_total")
+              .Help("checks of the operators' rows that nobody answered")
+              .Register(*Registry)
+              .Add({})),
       Instances(gauge(*Registry, "hemlockspar_instances", "known instances")),
       LinkBacklog(gauge(*Registry, "hemlockspar_link_backlog_seconds",
                         "time that waiting and expected large responses take "
@@ -141,6 +154,18 @@
   this->Configuration.Set(static_cast<double>(Version));
 }
 
+void MeshMetrics::recordConfigurationAge(const std::optional<Duration> &Age) {
+  this->RequestConfigurationAge.Observe(
+      Age ? seconds(*Age) : std::numeric_limits<double>::infinity());
+}
+
+void MeshMetrics::recordConfigurationCheck(bool Answered, Duration Elapsed) {
+  this->ConfigurationCheckSeconds.Observe(seconds(Elapsed));
+  if (!Answered) {
+    this->ConfigurationCheckFailures.Increment();
+  }
+}
+
 void MeshMetrics::setConfigurationAge(Duration Age) {
   this->ConfigurationAge.Set(std::chrono::duration<double>(Age).count());
 }
--- a/mesh/MeshMetrics.h
+++ b/mesh/MeshMetrics.h
@@ -49,6 +49,13 @@
 
   /// \p Age is the time since the store last confirmed the operators' rows.
   void setConfigurationAge(Duration Age);
+
+  /// Records the age of the configuration that a request is handled with; empty
+  /// when it was never confirmed.
+  void recordConfigurationAge(const std::optional<Duration> &Age);
+
+  /// Records a check of the operators' rows that took \p Elapsed.
+  void recordConfigurationCheck(bool Answered, Duration Elapsed);
   void setInstances(std::size_t Count);
   void setMemory(const MemoryBudget &Memory);
 
@@ -69,6 +76,9 @@
   prometheus::Gauge &Waiting;
   prometheus::Gauge &Configuration;
   prometheus::Gauge &ConfigurationAge;
+  prometheus::Histogram &RequestConfigurationAge;
+  prometheus::Histogram &ConfigurationCheckSeconds;
+  prometheus::Counter &ConfigurationCheckFailures;
   prometheus::Gauge &Instances;
   prometheus::Gauge &LinkBacklog;
   prometheus::Counter &LinkRefusals;
--- a/mesh/RequestRouter.cpp
+++ b/mesh/RequestRouter.cpp
@@ -102,6 +102,11 @@
       .with("waiting", static_cast<long long>(Inputs.Waiting));
 }
 
+/// The value of confirmed_ms in logs; -1 when nothing was ever confirmed.
+long long confirmedMilliseconds(const std::optional<Duration> &Age) {
+  return Age ? toMilliseconds(*Age) : -1;
+}
+
 http::status statusOf(const AttemptResult &Result) {
   if (Result.Outcome == RequestOutcome::NotRun) {
     return http::status::service_unavailable;
@@ -119,6 +124,10 @@
   const Route *SelectedRoute = nullptr;
   AttemptContext Context;
   TimePoint ArrivedAt;
+
+  /// Age of the knowledge of the operators' rows when the request arrived;
+  /// empty when they were never confirmed.
+  std::optional<Duration> ConfigurationAge;
   bool Keyed = false;
 
   /// Number of backend servers to which the request was sent.
@@ -171,6 +180,7 @@
   RequestState State;
   State.ArrivedAt = Now;
   State.ActiveConfiguration = this->View.configuration();
+  State.ConfigurationAge = this->View.operatorFreshness().age(Now);
   State.Context.RequestId = Headers.RequestId;
   if (!State.ActiveConfiguration) {
     LogLine(LogLevel::Info, "route", "refused")
@@ -181,6 +191,7 @@
                              std::chrono::milliseconds(500));
   }
 
+  this->Counters.recordConfigurationAge(State.ConfigurationAge);
   if (this->RejectingAll) {
     LogLine(LogLevel::Info, "route", "refused")
         .with("request", Headers.RequestId)
@@ -195,12 +206,11 @@
       targetPath({Request.target().data(), Request.target().size()});
   State.SelectedRoute = State.ActiveConfiguration->findRoute(Host, Path);
   if (!State.SelectedRoute) {
-    auto Age = this->View.operatorFreshness().age(Now);
     LogLine(LogLevel::Info, "route", "refused")
         .with("request", Headers.RequestId)
         .with("host", Host)
         .with("path", Path)
-        .with("confirmed_ms", Age ? toMilliseconds(*Age) : -1)
+        .with("confirmed_ms", confirmedMilliseconds(State.ConfigurationAge))
         .with("configuration",
               static_cast<long long>(State.ActiveConfiguration->Version))
         .with("reason", "no route");
@@ -634,6 +644,7 @@
       .with("route", State.SelectedRoute->Name)
       .with("configuration",
             static_cast<long long>(State.ActiveConfiguration->Version))
+      .with("confirmed_ms", confirmedMilliseconds(State.ConfigurationAge))
       .with("service", State.Context.Service)
       .with("key",
             State.Context.Key ? static_cast<long long>(*State.Context.Key) : -1)
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -17,6 +17,9 @@
 /// exchange requests within about a second.
 constexpr double EarlyChecksPerSecond = 2;
 
+/// Checks that take longer are logged.
+constexpr auto SlowCheck = std::chrono::milliseconds(500);
+
 /// A configuration that is active at other instances must arrive within this
 /// time; otherwise the table is read.
 constexpr auto CatchUpDelay = std::chrono::milliseconds(150);
@@ -235,6 +238,7 @@
 
 void StoreSync::onCheckResult(const FollowResult &Result, TimePoint SentAt) {
   TableFeed &Feed = this->ConfigurationFeed;
+  this->logSlowCheck(Result, SentAt);
   switch (Result.Outcome) {
   case FollowOutcome::HistoryLost:
     this->readConfiguration();
@@ -260,6 +264,21 @@
   }
 }
 
+void StoreSync::logSlowCheck(const FollowResult &Result,
+                             TimePoint SentAt) const {
+  TimePoint Now = BootClock::now();
+  bool Failed = Result.Outcome == FollowOutcome::Failed;
+  if (!Failed && Now - SentAt < SlowCheck) {
+    return;
+  }
+  auto Age = this->View.operatorFreshness().age(Now);
+  LogLine(LogLevel::Info, "store", "slow_check")
+      .with("table", this->ConfigurationFeed.Table)
+      .with("answered", Failed ? 0 : 1)
+      .with("ms", toMilliseconds(Now - SentAt))
+      .with("confirmed_ms", Age ? toMilliseconds(*Age) : -1);
+}
+
 Duration StoreSync::pauseAfterChanges(const TableFeed &Feed) const {
   bool Starting = BootClock::now() - this->StartedAt < StartPeriod;
   if (&Feed == &this->KeyFeed || Starting) {
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -85,6 +85,7 @@
   void onOperatorRows(const StoreRows &Rows, TimePoint FollowedAt,
                       Duration Wait);
   void onCheckResult(const FollowResult &Result, TimePoint SentAt);
+  void logSlowCheck(const FollowResult &Result, TimePoint SentAt) const;
   void applyRows(TableFeed &Feed, const StoreRows &Rows);
   Duration pauseAfterChanges(const TableFeed &Feed) const;
   Duration stretched(Duration Interval, Duration Max) const;
