--- a/stand_ins/FaultProxy.cpp
+++ b/stand_ins/FaultProxy.cpp
@@ -37,6 +37,7 @@
   Socket Server;
   Address Target;
   std::string From;
+  bool Stalled = false;
 };
 
 FaultProxy::FaultProxy(asio::io_context &Io)
@@ -105,7 +106,8 @@
         Source.async_read_some(asio::buffer(Buffer), Yield[Error]);
     LinkFaults Faults =
         this->faultsFor(Connection->From, Connection->Target.Host);
-    if (Error || (Outbound ? Faults.DropOutbound : Faults.DropInbound)) {
+    bool Cut = Outbound ? Faults.DropOutbound : Faults.DropInbound;
+    if (Error || Cut || Connection->Stalled) {
       continue;
     }
     if (Faults.DelayMs > 0) {
@@ -137,6 +139,7 @@
     Combined.DropOutbound = Combined.DropOutbound || Faults.DropOutbound;
     Combined.DropInbound = Combined.DropInbound || Faults.DropInbound;
     Combined.Reset = Combined.Reset || Faults.Reset;
+    Combined.StallOpen = Combined.StallOpen || Faults.StallOpen;
     Combined.DelayMs += Faults.DelayMs;
     Combined.MaxInboundBytes =
         std::max(Combined.MaxInboundBytes, Faults.MaxInboundBytes);
@@ -156,16 +159,21 @@
   Faults.DropOutbound = readFlag(*Fields, "cut_out");
   Faults.DropInbound = readFlag(*Fields, "cut_back");
   Faults.Reset = readFlag(*Fields, "reset");
+  Faults.StallOpen = readFlag(*Fields, "stall_open");
   Faults.DelayMs = getUnsigned(*Fields, "delay_ms");
   Faults.MaxInboundBytes = getUnsigned(*Fields, "max_back_bytes");
 
-  this->closeResetLinks();
+  this->applyToOpenConnections();
+  Faults.StallOpen = false;
   return jsonResponse(http::status::ok, Json::Value("set"));
 }
 
-void FaultProxy::closeResetLinks() {
+void FaultProxy::applyToOpenConnections() {
   for (const auto &Connection : std::set(this->OpenConnections)) {
-    if (this->faultsFor(Connection->From, Connection->Target.Host).Reset) {
+    LinkFaults Faults =
+        this->faultsFor(Connection->From, Connection->Target.Host);
+    Connection->Stalled = Connection->Stalled || Faults.StallOpen;
+    if (Faults.Reset) {
       Connection->close();
     }
   }
--- a/stand_ins/FaultProxy.h
+++ b/stand_ins/FaultProxy.h
@@ -22,6 +22,10 @@
   bool Reset = false;
   std::uint64_t DelayMs = 0;
 
+  /// Discards all data of the connections that are open when this is set; they
+  /// stay open, and new ones work.
+  bool StallOpen = false;
+
   /// Closes a connection when it has carried this many bytes inbound since the
   /// fault was set; 0 for no bound.
   std::uint64_t MaxInboundBytes = 0;
@@ -29,7 +33,7 @@
 
 /// TCP proxy that delays, discards or cuts traffic by its source and
 /// destination IP address. Faults are set over HTTP at run time: PUT /links
-/// {"from", "to", "cut_out", "cut_back", "reset", "delay_ms",
+/// {"from", "to", "cut_out", "cut_back", "reset", "stall_open", "delay_ms",
 /// "max_back_bytes"}; an empty from or to matches every address.
 class FaultProxy {
 public:
@@ -51,7 +55,7 @@
              bool Outbound, const boost::asio::yield_context &Yield);
   LinkFaults faultsFor(const std::string &From, const std::string &To) const;
   HttpResponse setFaults(const HttpRequest &Request);
-  void closeResetLinks();
+  void applyToOpenConnections();
 
   boost::asio::io_context &Io;
   HttpServer Control;
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -127,6 +127,7 @@
   Fields["cut_out"] = Faults.DropOutbound;
   Fields["cut_back"] = Faults.DropInbound;
   Fields["reset"] = Faults.Reset;
+  Fields["stall_open"] = Faults.StallOpen;
   Fields["delay_ms"] = Json::UInt64(Faults.DelayMs);
   Fields["max_back_bytes"] = Json::UInt64(Faults.MaxInboundBytes);
   HttpRequest Request(http::verb::put, "/links", 11);
--- a/tests/mesh/configuration/ConfigurationMeshTest.cpp
+++ b/tests/mesh/configuration/ConfigurationMeshTest.cpp
@@ -39,6 +39,34 @@
   Mesh.store().setFaults({});
 }
 
+constexpr int TheStore = -1;
+
+/// Number of cuts in a test: a cut may come at any moment between two calls.
+constexpr int CutCount = 4;
+
+/// Cuts the links of daemon 3 to \p Others several times without a reset, and
+/// checks that it has each configuration in force in time.
+void testCutsOfDaemon3(PlatformMesh &Mesh, const std::vector<int> &Others) {
+  LinkFaults Silent;
+  Silent.DropOutbound = true;
+  Silent.DropInbound = true;
+
+  for (int Cut = 0; Cut < CutCount; ++Cut) {
+    for (int Other : Others) {
+      Mesh.setLink(3, Other, Silent);
+    }
+    std::string Route = "route" + std::to_string(Cut);
+    Mesh.declare(static_cast<std::uint64_t>(Cut) + 2, Route);
+    std::this_thread::sleep_for(ConfigurationTime);
+    cr_expect_eq(statusOf(Mesh.send(3, "/" + Route + "/1")), 200, "cut %d",
+                 Cut);
+    for (int Other : Others) {
+      Mesh.setLink(3, Other, {});
+    }
+    std::this_thread::sleep_for(ContactTime);
+  }
+}
+
 } // namespace
 
 /// A daemon whose wait for changes is never answered, and which no other daemon
@@ -69,3 +97,42 @@
   }
   cr_assert_eq(Mesh.server(3).executedRequests().size(), Before);
 }
+
+/// A daemon whose calls to the store get no answer, though other daemons can
+/// reach both, must not go on with an older configuration.
+Test(ConfigurationMesh, SilentPathToTheStoreDelaysAConfiguration) {
+  PlatformMesh Mesh(133, FourDaemons, true);
+  cr_assert(Mesh.start());
+  testCutsOfDaemon3(Mesh, {TheStore});
+}
+
+/// The same when it can't reach the daemons that it asks first either.
+Test(ConfigurationMesh, SilentRelaysDelayAConfiguration) {
+  PlatformMesh Mesh(134, FourDaemons, true);
+  cr_assert(Mesh.start());
+  testCutsOfDaemon3(Mesh, {TheStore, 0, 1});
+}
+
+/// Connections that go silent without a reset, while new ones work, must not
+/// keep a daemon from learning of a change.
+Test(ConfigurationMesh, SilentConnectionsDelayAConfiguration) {
+  PlatformMesh Mesh(135, FourDaemons, true);
+  cr_assert(Mesh.start());
+  LinkFaults Silent;
+  Silent.StallOpen = true;
+  for (int From = 0; From < Mesh.count(); ++From) {
+    for (int To = TheStore; To < Mesh.count(); ++To) {
+      if (From != To) {
+        Mesh.setLink(From, To, Silent);
+      }
+    }
+  }
+  std::this_thread::sleep_for(ContactTime - ConfigurationTime);
+
+  Mesh.declare(2, "first");
+  std::this_thread::sleep_for(ConfigurationTime);
+  for (int Index = 0; Index < Mesh.count(); ++Index) {
+    cr_expect_eq(statusOf(Mesh.send(Index, "/first/1")), 200, "daemon %d",
+                 Index);
+  }
+}
