mesh: a check of the operators' rows is hedged over several paths to the store

What callers saw: 404 for a route that was added, or (reported) an answer by an older configuration, 2.5 to 3 s after the newer one had been acknowledged, at a daemon that could reach the store, if only through other daemons.

Cause: one path at a time. A check waited on the direct path until its timeout (2 s), then on each of two relays (2.3 s each), and no other check could begin meanwhile; the relays were the same for all daemons of a region, in the order of their names, also those that had just failed; after a timeout the next call took another connection of the same pool. With a check due after 2 s the age of the knowledge passed 4 s on one silent path and 8 s on three. The class: time-outs that are added up on the way to a fact that has a bound.

Why this works: an attempt that is unanswered for 250 ms is joined by one over a new connection and by two relays in different data centres, then two more; the first answer counts. Failed relays are asked last for 10 s, each daemon begins with another one, and connections that were open beside a silent one are closed. Writes and long waits go one path at a time as before.

Ruled out: restarting the long wait more often; it is the check that bounds.

--- a/mesh/FailoverStoreTransport.h
+++ b/mesh/FailoverStoreTransport.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "mesh/StoreTransport.h"
+#include "mesh/store_access/HedgeSchedule.h"
+#include "mesh/store_access/RelaySelector.h"
 
 #include <functional>
 
@@ -11,16 +13,21 @@
 /// the store does not respond to this one. Lives as long as the process.
 class FailoverStoreTransport : public StoreTransport {
 public:
-  /// \p Peers returns the addresses of instances that can relay calls, in order
-  /// of preference. Connections are opened from \p LocalHost.
+  /// \p Peers returns the instances that can relay calls; those in \p Region
+  /// are preferred. Connections are opened from \p LocalHost.
   FailoverStoreTransport(boost::asio::io_context &Io, Address Store,
                          const std::string &LocalHost,
-                         std::function<std::vector<Address>()> Peers,
+                         const std::string &Region,
+                         std::function<std::vector<RelayCandidate>()> Peers,
                          const MemoryBudgetPtr &Memory);
 
   ExchangeResult exchange(HttpRequest &Request, Duration Timeout,
                           const boost::asio::yield_context &Yield) override;
 
+  ExchangeResult
+  exchangeHedged(HttpRequest &Request, Duration Timeout,
+                 const boost::asio::yield_context &Yield) override;
+
   /// Handles a call relayed by another instance. Calls the store directly only,
   /// and fails while the store does not respond to this instance.
   HttpResponse relay(HttpRequest &Request,
@@ -30,16 +37,27 @@
   static bool isRelayCall(const HttpRequest &Request);
 
 private:
+  struct HedgedCall;
+  struct DirectResult;
+
   bool mayCallDirectly() const;
-  ExchangeResult exchangeDirectly(HttpRequest &Request, Duration Timeout,
+  DirectPath directPath();
+  DirectResult exchangeDirectly(HttpRequest &Request, Duration Timeout,
+                                const boost::asio::yield_context &Yield);
+  ExchangeResult exchangeWithPeer(const Address &Peer,
+                                  const HttpRequest &Request, Duration Timeout,
                                   const boost::asio::yield_context &Yield);
+  void beginAttempt(const std::shared_ptr<HedgedCall> &Call, StorePath Path);
+  void onAttemptEnded(HedgedCall &Call, ExchangeResult Result);
   ExchangeResult exchangeThroughPeers(HttpRequest &Request, Duration Timeout,
                                       const boost::asio::yield_context &Yield);
   void recordDirectResult(bool Responds, const std::string &Reason);
   void cancelPendingReads();
 
+  boost::asio::io_context &Io;
   Address StoreAddress;
-  std::function<std::vector<Address>()> Peers;
+  std::function<std::vector<RelayCandidate>()> Peers;
+  RelaySelector Relays;
   HttpClient StoreClient;
   HttpClient PeerClient;
 
@@ -47,7 +65,6 @@
   std::set<CallerWatch *> PendingReads;
   bool StoreReachable = true;
   TimePoint DirectRetryAt;
-  std::size_t NextPeer = 0;
 };
 
 } // namespace hemlockspar
--- a/mesh/MeshDaemon.cpp
+++ b/mesh/MeshDaemon.cpp
@@ -82,7 +82,7 @@
   void onViewChanged();
   void recoverServer();
   std::unique_ptr<ServerGrants> makeGrants();
-  std::vector<Address> relayPeers() const;
+  std::vector<RelayCandidate> relayPeers() const;
   HttpResponse servePeerCall(HttpRequest &Request, CallerWatch &Watch,
                              const asio::yield_context &Yield);
   HttpResponse serveReadiness(const HttpRequest &Request) const;
@@ -192,7 +192,7 @@
     : Config(Config), SettingsPath(std::move(SettingsPath)), Adapters(Adapters),
       Io(1), Memory(std::make_shared<MemoryBudget>(Config.MemoryMb)),
       Transport(
-          Io, Config.StoreAddress, Config.PeerAddress.Host,
+          Io, Config.StoreAddress, Config.PeerAddress.Host, Config.Region,
           [this] { return this->relayPeers(); }, Memory),
       StoreClient(std::make_unique<CountingStore>(
           Adapters.MakeStore(Io, Transport), Counters)),
@@ -390,17 +390,14 @@
   }
 }
 
-std::vector<Address> MeshDaemon::relayPeers() const {
-  std::vector<Address> Near;
-  std::vector<Address> Far;
+std::vector<RelayCandidate> MeshDaemon::relayPeers() const {
+  std::vector<RelayCandidate> Peers;
   for (const auto &[Name, Row] : this->View.instances()) {
     if (Name != this->Config.Instance) {
-      (Row.Region == this->Config.Region ? Near : Far)
-          .push_back(Row.PeerAddress);
+      Peers.push_back({Row.PeerAddress, Row.Region, Row.DataCenter});
     }
   }
-  Near.insert(Near.end(), Far.begin(), Far.end());
-  return Near;
+  return Peers;
 }
 
 HttpResponse MeshDaemon::servePeerCall(HttpRequest &Request, CallerWatch &Watch,
--- a/mesh/Store.h
+++ b/mesh/Store.h
@@ -82,7 +82,9 @@
   /// Reads a consistent snapshot of all rows of \p Table.
   virtual void readTable(const std::string &Table, ReadCallback OnDone) = 0;
 
-  /// Waits up to \p Wait for changes of \p Table after version \p After.
+  /// Waits up to \p Wait for changes of \p Table after version \p After. A
+  /// call without a wait is a check: its answer must not be held up by one path
+  /// to the store.
   virtual void follow(const std::string &Table, RowVersion After, Duration Wait,
                       FollowCallback OnDone) = 0;
 };
--- a/mesh/StoreTransport.h
+++ b/mesh/StoreTransport.h
@@ -12,6 +12,12 @@
   /// Sends \p Request and waits up to \p Timeout for the response.
   virtual ExchangeResult exchange(HttpRequest &Request, Duration Timeout,
                                   const boost::asio::yield_context &Yield) = 0;
+
+  /// As exchange, for a read-only call whose response must not wait until a
+  /// path to the store has timed out: it may be sent several times.
+  virtual ExchangeResult
+  exchangeHedged(HttpRequest &Request, Duration Timeout,
+                 const boost::asio::yield_context &Yield) = 0;
 };
 
 } // namespace hemlockspar
