mesh: an answer before the end of a wait confirms nothing of the rest of it

What callers could see: an older configuration for up to 30 s.

Cause: an answer without changes was taken to end the whole wait, so that one which comes early (a store that drains, a wait that something on the way cuts short) confirmed the operators' rows up to 30 s into the future. No check was due until then, and the claim spread to other daemons with each response.

Evidence: StoreSync.EarlyAnswerConfirmsTheWholeWait failed on the code before (age 0 a second after an answer that came at once) and passes.

Why this works: an early answer confirms the moment at which the wait began, and the next wait follows after the pause of a failed call instead of at once.

--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -17,6 +17,9 @@
 /// exchange requests within about a second.
 constexpr double EarlyChecksPerSecond = 2;
 
+/// An answer that ends a wait may be this much early by the local clock.
+constexpr auto WaitTolerance = std::chrono::milliseconds(50);
+
 /// Checks that take longer are logged.
 constexpr auto SlowCheck = std::chrono::milliseconds(500);
 
@@ -173,8 +176,12 @@
     break;
   }
 
+  TimePoint WaitEnd = Feed.FollowedAt + Feed.FollowWait;
+  bool Early =
+      Result.Rows.Rows.empty() && BootClock::now() + WaitTolerance < WaitEnd;
   if (&Feed == &this->ConfigurationFeed) {
-    this->onOperatorRows(Result.Rows, Feed.FollowedAt, Feed.FollowWait);
+    this->onOperatorRows(Result.Rows, Feed.FollowedAt,
+                         Early ? Duration::zero() : Feed.FollowWait);
   }
   this->applyRows(Feed, Result.Rows);
   Feed.Version = std::max(Feed.Version, Result.Rows.Version);
@@ -182,6 +189,8 @@
   bool Pause = !Result.Rows.Rows.empty() && &Feed != &this->ConfigurationFeed;
   if (Pause) {
     this->pollAfter(Feed, this->pauseAfterChanges(Feed));
+  } else if (Early) {
+    this->pollAfter(Feed, this->retryDelay(0));
   } else {
     this->poll(Feed);
   }
@@ -198,8 +207,8 @@
                                Duration Wait) {
   TableFreshness &Freshness = this->View.operatorFreshness();
   if (Rows.Rows.empty()) {
-    // The store answers without changes only after the whole wait.
-    Freshness.confirm(Rows.Version, FollowedAt + Wait);
+    Freshness.confirm(Rows.Version,
+                      std::min(FollowedAt + Wait, BootClock::now()));
     return;
   }
   for (const TableRow &Row : Rows.Rows) {
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -82,6 +82,9 @@
   void pollAfter(TableFeed &Feed, Duration Pause);
   void onFollowResult(TableFeed &Feed, const FollowResult &Result);
   void onOperatorTableRead(const StoreRows &Rows, TimePoint SentAt);
+
+  /// The store answered a call of \p FollowedAt; without changes it had waited
+  /// for \p Wait.
   void onOperatorRows(const StoreRows &Rows, TimePoint FollowedAt,
                       Duration Wait);
   void onCheckResult(const FollowResult &Result, TimePoint SentAt);
--- a/tests/mesh/configuration/StoreSyncTest.cpp
+++ b/tests/mesh/configuration/StoreSyncTest.cpp
@@ -15,10 +15,11 @@
   void readTable(const std::string &Table, ReadCallback OnDone) override {
     this->Reads[Table] = std::move(OnDone);
   }
-  void follow(const std::string &Table, RowVersion, Duration Wait,
+  void follow(const std::string &Table, RowVersion After, Duration Wait,
               FollowCallback OnDone) override {
     if (Table == tables::Operator) {
       this->Waits.push_back(Wait);
+      this->Versions.push_back(After);
       this->OnFollowed = std::move(OnDone);
     }
   }
@@ -35,6 +36,9 @@
 
   /// Requested waits for changes of the operators' table.
   std::vector<Duration> Waits;
+
+  /// Versions after which changes were asked for.
+  std::vector<RowVersion> Versions;
   FollowCallback OnFollowed;
 };
 
@@ -122,3 +126,25 @@
   Fixture.Sync.checkOperatorRows(BootClock::now() + seconds(3));
   cr_assert_eq(Fixture.Remote.Waits.size(), 2);
 }
+
+/// An answer without changes before the end of the wait says nothing of the
+/// rest of the wait.
+Test(StoreSync, EarlyAnswerConfirmsTheWholeWait) {
+  SyncFixture Fixture;
+  Fixture.Remote.answerRead(10);
+  FollowResult Unchanged;
+  Unchanged.Outcome = FollowOutcome::Changes;
+  Unchanged.Rows.Table = tables::Operator;
+  Unchanged.Rows.Version = 12;
+  Fixture.Remote.OnFollowed(Unchanged);
+  Fixture.Io.run_for(seconds(1));
+  auto Age =
+      Fixture.View.operatorFreshness().age(BootClock::now() + seconds(1));
+  cr_assert(Age && *Age >= seconds(1));
+  std::size_t Calls = Fixture.Remote.Waits.size();
+  cr_assert_leq(Calls, 4, "%zu calls", Calls);
+
+  Fixture.Sync.checkOperatorRows(BootClock::now() + seconds(3));
+  cr_assert_eq(Fixture.Remote.Waits.size(), Calls + 1);
+  cr_assert(Fixture.Remote.Waits.back() == Duration::zero());
+}
