mesh: a configuration that can't be read is not counted as known

What callers could see: an older configuration until the next change, from a daemon whose metrics and answers call its knowledge fresh.

A confirmation told what had been received, not what was in force.

Evidence: StoreSync.UnreadableConfigurationCountsAsKnown failed on the code before (a response of another daemon confirmed it; no check asked for it) and passes.

Why this works: rows are applied before they are confirmed, nothing is confirmed while the newest configuration row is unreadable, and checks ask from before that row, so that a value damaged on the way is read again.

--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -124,15 +124,15 @@
   TimePoint SentAt = BootClock::now();
   this->StoreClient.readTable(
       Feed.Table, [this, &Feed, SentAt](const std::optional<StoreRows> &Read) {
-        if (Read && &Feed == &this->ConfigurationFeed) {
-          this->onOperatorTableRead(*Read, SentAt);
-        }
         if (!Read) {
           this->pollAfter(Feed, this->retryDelay(Feed.Failures++));
           return;
         }
         Feed.Failures = 0;
         this->applyRows(Feed, *Read);
+        if (&Feed == &this->ConfigurationFeed) {
+          this->onOperatorTableRead(*Read, SentAt);
+        }
         Feed.HasRead = true;
         Feed.Version = Read->Version;
         if (&Feed == &this->KeyFeed && !this->FollowingKeys) {
@@ -179,11 +179,11 @@
   TimePoint WaitEnd = Feed.FollowedAt + Feed.FollowWait;
   bool Early =
       Result.Rows.Rows.empty() && BootClock::now() + WaitTolerance < WaitEnd;
+  this->applyRows(Feed, Result.Rows);
   if (&Feed == &this->ConfigurationFeed) {
     this->onOperatorRows(Result.Rows, Feed.FollowedAt,
                          Early ? Duration::zero() : Feed.FollowWait);
   }
-  this->applyRows(Feed, Result.Rows);
   Feed.Version = std::max(Feed.Version, Result.Rows.Version);
   this->View.markComplete(Feed.Table, Feed.Version);
   bool Pause = !Result.Rows.Rows.empty() && &Feed != &this->ConfigurationFeed;
@@ -200,12 +200,17 @@
   // A read does not tell when the last row was deleted.
   TableFreshness &Freshness = this->View.operatorFreshness();
   Freshness.onChange(Rows.Version);
-  Freshness.confirm(Rows.Version, SentAt);
+  if (!this->UnreadableRow) {
+    Freshness.confirm(Rows.Version, SentAt);
+  }
 }
 
 void StoreSync::onOperatorRows(const StoreRows &Rows, TimePoint FollowedAt,
                                Duration Wait) {
   TableFreshness &Freshness = this->View.operatorFreshness();
+  if (this->UnreadableRow) {
+    return;
+  }
   if (Rows.Rows.empty()) {
     Freshness.confirm(Rows.Version,
                       std::min(FollowedAt + Wait, BootClock::now()));
@@ -238,7 +243,10 @@
 
   this->CheckPending = true;
   Freshness.onCheckBegun(Now, Draw(this->Random));
-  this->StoreClient.follow(Feed.Table, Feed.Version, Duration::zero(),
+  RowVersion After = this->UnreadableRow
+                         ? std::min(Feed.Version, *this->UnreadableRow - 1)
+                         : Feed.Version;
+  this->StoreClient.follow(Feed.Table, After, Duration::zero(),
                            [this, Now](const FollowResult &Result) {
                              this->CheckPending = false;
                              this->onCheckResult(Result, Now);
@@ -258,16 +266,20 @@
     break;
   }
 
-  if (!Result.Rows.Rows.empty()) {
+  const std::vector<TableRow> &Rows = Result.Rows.Rows;
+  bool Missed = std::any_of(Rows.begin(), Rows.end(), [&](const TableRow &Row) {
+    return Row.Version > Feed.Version;
+  });
+  if (Missed) {
     LogLine(LogLevel::Info, "store", "found_by_check")
         .with("table", Feed.Table)
         .with("after", static_cast<long long>(Feed.Version))
         .with("waited_ms", toMilliseconds(SentAt - Feed.FollowedAt));
   }
-  this->onOperatorRows(Result.Rows, SentAt, Duration::zero());
   this->applyRows(Feed, Result.Rows);
+  this->onOperatorRows(Result.Rows, SentAt, Duration::zero());
   Feed.Version = std::max(Feed.Version, Result.Rows.Version);
-  if (!Result.Rows.Rows.empty() && Feed.HasRead) {
+  if (Missed && Feed.HasRead) {
     // The pending wait is lost, or behind.
     this->poll(Feed);
   }
@@ -366,11 +378,17 @@
 
   auto Read = this->Codec.decode(*Row.Value);
   if (!Read.ok()) {
-    LogLine(LogLevel::Warning, "store", "configuration_ignored")
-        .with("row_version", static_cast<long long>(Row.Version))
-        .with("reason", std::string(Read.status().message()));
+    if (Row.Version > this->UnreadableRow.value_or(0)) {
+      this->UnreadableRow = Row.Version;
+      LogLine(LogLevel::Error, "store", "configuration_ignored")
+          .with("row_version", static_cast<long long>(Row.Version))
+          .with("reason", std::string(Read.status().message()));
+    }
     return;
   }
+  if (this->UnreadableRow && Row.Version >= *this->UnreadableRow) {
+    this->UnreadableRow.reset();
+  }
   this->View.activateConfiguration(
       std::make_shared<const Configuration>(std::move(*Read)));
 }
@@ -405,8 +423,8 @@
       tables::Operator, [this, SentAt](const std::optional<StoreRows> &Read) {
         this->CatchingUp = false;
         if (Read) {
-          this->onOperatorTableRead(*Read, SentAt);
           this->applyRows(this->ConfigurationFeed, *Read);
+          this->onOperatorTableRead(*Read, SentAt);
         }
       });
 }
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -122,6 +122,10 @@
   boost::asio::steady_timer CatchUpTimer;
   bool CatchingUp = false;
 
+  /// The newest configuration row that could not be read. Until one is read
+  /// that is as new, nothing is confirmed, and checks ask for it again.
+  std::optional<RowVersion> UnreadableRow;
+
   /// When a check of the operators' table was last considered.
   TimePoint CheckConsideredAt;
 
--- a/tests/mesh/configuration/StoreSyncTest.cpp
+++ b/tests/mesh/configuration/StoreSyncTest.cpp
@@ -148,3 +148,24 @@
   cr_assert_eq(Fixture.Remote.Waits.size(), Calls + 1);
   cr_assert(Fixture.Remote.Waits.back() == Duration::zero());
 }
+
+/// A configuration that can't be read is not in force, so that the knowledge of
+/// it is not confirmed, and it is read again.
+Test(StoreSync, UnreadableConfigurationCountsAsKnown) {
+  SyncFixture Fixture;
+  Fixture.Remote.answerRead(10);
+  FollowResult Found;
+  Found.Outcome = FollowOutcome::Changes;
+  Found.Rows.Table = tables::Operator;
+  Found.Rows.Version = 20;
+  Found.Rows.Rows.push_back({"op/config", 15, "{"});
+  Fixture.Remote.OnFollowed(Found);
+  TimePoint Later = BootClock::now() + seconds(3);
+  Fixture.View.operatorFreshness().confirmByPeer({15, milliseconds(0)}, Later,
+                                                 Later);
+  cr_assert(*Fixture.View.operatorFreshness().age(Later) > seconds(2));
+
+  Fixture.Sync.checkOperatorRows(Later);
+  cr_assert(Fixture.Remote.Waits.back() == Duration::zero());
+  cr_assert_lt(Fixture.Remote.Versions.back(), 15);
+}
