mesh: a check that finds the history dropped restarts the feed

Cause: a check that was answered 410 read the table but left the feed at its old version, so that each further check was answered 410 as well, until the pending wait ended, up to 30 s later.

Why this works: the feed is read anew and goes on from there; the pending wait, which starts from a version whose history is gone, is given up.

--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -258,7 +258,11 @@
   this->logSlowCheck(Result, SentAt);
   switch (Result.Outcome) {
   case FollowOutcome::HistoryLost:
-    this->readConfiguration();
+    if (Feed.HasRead) {
+      Feed.HasRead = false;
+      ++Feed.CallNumber;
+      this->poll(Feed);
+    }
     return;
   case FollowOutcome::Failed:
     return;
--- a/tests/mesh/configuration/StoreSyncTest.cpp
+++ b/tests/mesh/configuration/StoreSyncTest.cpp
@@ -13,6 +13,7 @@
 public:
   void commit(const TableTransaction &, CommitCallback) override {}
   void readTable(const std::string &Table, ReadCallback OnDone) override {
+    ++this->ReadCounts[Table];
     this->Reads[Table] = std::move(OnDone);
   }
   void follow(const std::string &Table, RowVersion After, Duration Wait,
@@ -33,6 +34,7 @@
   }
 
   std::map<std::string, ReadCallback> Reads;
+  std::map<std::string, int> ReadCounts;
 
   /// Requested waits for changes of the operators' table.
   std::vector<Duration> Waits;
@@ -169,3 +171,21 @@
   cr_assert(Fixture.Remote.Waits.back() == Duration::zero());
   cr_assert_lt(Fixture.Remote.Versions.back(), 15);
 }
+
+/// A check that finds the history dropped restarts the feed, or each further
+/// check costs a read of the whole table.
+Test(StoreSync, EachCheckReadsTheTableAfterTheHistoryWasDropped) {
+  SyncFixture Fixture;
+  Fixture.Remote.answerRead(10);
+  FollowResult Dropped;
+  Dropped.Outcome = FollowOutcome::HistoryLost;
+  for (int Check = 1; Check <= 3; ++Check) {
+    Fixture.Sync.checkOperatorRows(BootClock::now() + seconds(3 * Check));
+    if (Fixture.Remote.Versions.back() < 30) {
+      Fixture.Remote.OnFollowed(Dropped);
+      Fixture.Remote.answerRead(30);
+    }
+  }
+  cr_assert_eq(Fixture.Remote.ReadCounts[tables::Operator], 2);
+  cr_assert_eq(Fixture.Remote.Versions.back(), 30);
+}
