--- a/mesh/FailoverStoreTransport.cpp
+++ b/mesh/FailoverStoreTransport.cpp
@@ -28,7 +28,7 @@
 
 /// A hedged call that has stayed unanswered for this time is sent on other
 /// paths as well. Longer than a round trip between regions with a slow store.
-constexpr auto HedgeDelay = std::chrono::milliseconds(250);
+constexpr auto HedgeDelay = std::chrono::milliseconds(300);
 
 /// Added to the timeout of a relayed call for the round trip to the peer.
 constexpr auto RelaySlack = std::chrono::milliseconds(300);
