mesh: hedge checks after twice the store's response time, and begin them later

Changed: a check is due after 1.6 to 1.9 s; the delay of a hedge is twice the store's recent response time, 200 to 600 ms, so that a store that is slow does not get several calls for it.

Calls of this form: not measured yet.

--- a/mesh/FailoverStoreTransport.cpp
+++ b/mesh/FailoverStoreTransport.cpp
@@ -26,10 +26,6 @@
 /// Maximum number of peers tried per call.
 constexpr std::size_t MaxPeersPerCall = 2;
 
-/// A hedged call that has stayed unanswered for this time is sent on other
-/// paths as well. Longer than a round trip between regions with a slow store.
-constexpr auto HedgeDelay = std::chrono::milliseconds(300);
-
 /// Added to the timeout of a relayed call for the round trip to the peer.
 constexpr auto RelaySlack = std::chrono::milliseconds(300);
 
@@ -278,9 +274,10 @@
     for (StorePath Path : Schedule.next(Call->DirectRunning)) {
       this->beginAttempt(Call, Path);
     }
-    TimePoint Until = Schedule.hasMore()
-                          ? std::min(BootClock::now() + HedgeDelay, Deadline)
-                          : Deadline;
+    TimePoint Until =
+        Schedule.hasMore()
+            ? std::min(BootClock::now() + this->Hedging.current(), Deadline)
+            : Deadline;
     while (!Call->Served && Call->Running > 0 && BootClock::now() < Until) {
       boost::system::error_code Ignored;
       Call->Progress.expires_after(Until - BootClock::now());
@@ -319,8 +316,12 @@
         if (Reconnecting) {
           this->StoreClient.closeIdle(this->StoreAddress);
         }
+        TimePoint SentAt = BootClock::now();
         DirectResult Direct = this->exchangeDirectly(Request, Left, Yield);
         Call->DirectRunning = false;
+        if (isServed(Direct.Exchange)) {
+          this->Hedging.recordAnswer(BootClock::now() - SentAt);
+        }
         if (Reconnecting && isServed(Direct.Exchange) && !Call->Served) {
           // The connections that were open before are silent.
           this->cancelPendingReads();
--- a/mesh/FailoverStoreTransport.h
+++ b/mesh/FailoverStoreTransport.h
@@ -58,6 +58,7 @@
   Address StoreAddress;
   std::function<std::vector<RelayCandidate>()> Peers;
   RelaySelector Relays;
+  HedgeDelay Hedging;
   HttpClient StoreClient;
   HttpClient PeerClient;
 
--- a/mesh/configuration/TableFreshness.cpp
+++ b/mesh/configuration/TableFreshness.cpp
@@ -9,8 +9,8 @@
 /// The store is asked when nothing has been confirmed for a random time between
 /// these. With a call that is answered on its third path this stays below the
 /// shortest time in which operators expect a configuration to be in force.
-constexpr auto MinCheckAge = std::chrono::milliseconds(1300);
-constexpr auto MaxCheckAge = std::chrono::milliseconds(1600);
+constexpr auto MinCheckAge = std::chrono::milliseconds(1600);
+constexpr auto MaxCheckAge = std::chrono::milliseconds(1900);
 
 /// An early check confirms nothing new before this.
 constexpr auto EarlyCheckAge = std::chrono::milliseconds(300);
--- a/mesh/store_access/HedgeSchedule.cpp
+++ b/mesh/store_access/HedgeSchedule.cpp
@@ -11,8 +11,21 @@
 constexpr std::size_t MaxRelays = 5;
 constexpr std::size_t RelaysPerRound = 2;
 
+/// Bounds of the delay. The shortest is above a round trip between regions; the
+/// longest leaves time for further attempts before the call times out.
+constexpr auto MinDelay = std::chrono::milliseconds(200);
+constexpr auto MaxDelay = std::chrono::milliseconds(600);
+
 } // namespace
 
+void HedgeDelay::recordAnswer(Duration Elapsed) {
+  this->Recent = std::max<Duration>(Elapsed, (this->Recent * 3 + Elapsed) / 4);
+}
+
+Duration HedgeDelay::current() const {
+  return std::clamp<Duration>(this->Recent * 2, MinDelay, MaxDelay);
+}
+
 HedgeSchedule::HedgeSchedule(DirectPath Direct, std::size_t Relays)
     : Direct(Direct), RelaysLeft(std::min(Relays, MaxRelays)) {}
 
--- a/mesh/store_access/HedgeSchedule.h
+++ b/mesh/store_access/HedgeSchedule.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/Clock.h"
+
 #include <cstddef>
 #include <vector>
 
@@ -25,6 +27,21 @@
   Lost,
 };
 
+/// How long an attempt may stay unanswered before others are begun. Follows the
+/// store's response times, so that a slow store does not get more calls for
+/// being slow. Free of I/O.
+class HedgeDelay {
+public:
+  /// A direct call was answered after \p Elapsed.
+  void recordAnswer(Duration Elapsed);
+
+  Duration current() const;
+
+private:
+  /// The longest recent response time; decays with each shorter one.
+  Duration Recent{};
+};
+
 /// Chooses the paths of one hedged call to the store: when an attempt stays
 /// unanswered, others follow before it has timed out. Free of I/O.
 class HedgeSchedule {
--- a/tests/mesh/store_access/HedgeScheduleTest.cpp
+++ b/tests/mesh/store_access/HedgeScheduleTest.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 using namespace hemlockspar;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -62,3 +63,17 @@
     cr_assert_leq(Attempts, 7);
   }
 }
+
+/// A store that has become slow must not get several calls in place of one, nor
+/// keep the delay long once it is fast again.
+Test(HedgeDelay, SlowStoreGetsMoreCalls) {
+  HedgeDelay Delay;
+  Delay.recordAnswer(milliseconds(64));
+  cr_assert(Delay.current() == milliseconds(200));
+  Delay.recordAnswer(milliseconds(300));
+  cr_assert(Delay.current() == milliseconds(600));
+  for (int Answer = 0; Answer < 8; ++Answer) {
+    Delay.recordAnswer(milliseconds(64));
+  }
+  cr_assert(Delay.current() == milliseconds(200));
+}
