--- a/tests/mesh/configuration/StoreSyncTest.cpp
+++ b/tests/mesh/configuration/StoreSyncTest.cpp
@@ -56,6 +56,16 @@
   }
 };
 
+/// An answer with \p Rows, complete up to \p Version.
+FollowResult changesUpTo(RowVersion Version, std::vector<TableRow> Rows) {
+  FollowResult Result;
+  Result.Outcome = FollowOutcome::Changes;
+  Result.Rows.Table = tables::Operator;
+  Result.Rows.Version = Version;
+  Result.Rows.Rows = std::move(Rows);
+  return Result;
+}
+
 struct SyncFixture {
   SyncFixture() { this->Sync.start(); }
 
@@ -93,12 +103,7 @@
   Fixture.Remote.answerRead(10);
   Store::FollowCallback Lost = Fixture.Remote.OnFollowed;
   Fixture.Sync.checkOperatorRows(BootClock::now() + seconds(3));
-  FollowResult Found;
-  Found.Outcome = FollowOutcome::Changes;
-  Found.Rows.Table = tables::Operator;
-  Found.Rows.Version = 20;
-  Found.Rows.Rows.push_back({"op/evacuate/x", 15, "{}"});
-  Fixture.Remote.OnFollowed(Found);
+  Fixture.Remote.OnFollowed(changesUpTo(20, {{"op/evacuate/x", 15, "{}"}}));
   cr_assert_eq(Fixture.Remote.Waits.size(), 3);
   cr_assert_gt(Fixture.Remote.Waits.back(), seconds(1));
 
@@ -134,11 +139,7 @@
 Test(StoreSync, EarlyAnswerConfirmsTheWholeWait) {
   SyncFixture Fixture;
   Fixture.Remote.answerRead(10);
-  FollowResult Unchanged;
-  Unchanged.Outcome = FollowOutcome::Changes;
-  Unchanged.Rows.Table = tables::Operator;
-  Unchanged.Rows.Version = 12;
-  Fixture.Remote.OnFollowed(Unchanged);
+  Fixture.Remote.OnFollowed(changesUpTo(12, {}));
   Fixture.Io.run_for(seconds(1));
   auto Age =
       Fixture.View.operatorFreshness().age(BootClock::now() + seconds(1));
@@ -156,12 +157,7 @@
 Test(StoreSync, UnreadableConfigurationCountsAsKnown) {
   SyncFixture Fixture;
   Fixture.Remote.answerRead(10);
-  FollowResult Found;
-  Found.Outcome = FollowOutcome::Changes;
-  Found.Rows.Table = tables::Operator;
-  Found.Rows.Version = 20;
-  Found.Rows.Rows.push_back({"op/config", 15, "{"});
-  Fixture.Remote.OnFollowed(Found);
+  Fixture.Remote.OnFollowed(changesUpTo(20, {{"op/config", 15, "{"}}));
   TimePoint Later = BootClock::now() + seconds(3);
   Fixture.View.operatorFreshness().confirmByPeer({15, milliseconds(0)}, Later,
                                                  Later);
