--- a/stand_ins/FakePlatformStore.cpp
+++ b/stand_ins/FakePlatformStore.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr char EraHeader[] = "Store-Era";
+
 constexpr auto ChangePollInterval = std::chrono::milliseconds(10);
 
 /// Longer than the timeout of any client.
@@ -62,6 +64,19 @@
   this->HistoryStart = ++this->Version;
 }
 
+void FakePlatformStore::saveCopy() {
+  std::lock_guard Lock(this->Mutex);
+  this->CopiedRows = this->Rows;
+  this->CopiedVersion = this->Version;
+}
+
+void FakePlatformStore::restoreCopy() {
+  std::lock_guard Lock(this->Mutex);
+  this->Rows = this->CopiedRows;
+  this->Version = this->CopiedVersion;
+  ++this->Era;
+}
+
 void FakePlatformStore::put(const std::string &Table, const std::string &Key,
                             const std::string &Value) {
   std::lock_guard Lock(this->Mutex);
@@ -92,6 +107,17 @@
 HttpResponse FakePlatformStore::serve(const std::string &Caller,
                                       HttpRequest &Request,
                                       const asio::yield_context &Yield) {
+  HttpResponse Response = this->serveCall(Caller, Request, Yield);
+  if (Response.find(EraHeader) == Response.end()) {
+    std::lock_guard Lock(this->Mutex);
+    Response.set(EraHeader, std::to_string(this->Era));
+  }
+  return Response;
+}
+
+HttpResponse FakePlatformStore::serveCall(const std::string &Caller,
+                                          HttpRequest &Request,
+                                          const asio::yield_context &Yield) {
   std::string Path =
       targetPath({Request.target().data(), Request.target().size()});
   std::string Call = Path.substr(Path.rfind('/') + 1);
@@ -229,10 +255,19 @@
       BootClock::now() + std::chrono::milliseconds(
                              parseNumber(requestParameter(Request, "wait_ms")));
 
+  std::uint64_t BegunInEra = 0;
+  {
+    std::lock_guard Lock(this->Mutex);
+    BegunInEra = this->Era;
+  }
+
   while (true) {
     {
       std::lock_guard Lock(this->Mutex);
-      if (After < this->HistoryStart) {
+      if (this->Era != BegunInEra) {
+        return HttpResponse(http::status::service_unavailable, 11);
+      }
+      if (After < this->HistoryStart || After > this->Version) {
         return HttpResponse(http::status::gone, 11);
       }
 
--- a/stand_ins/FakePlatformStore.h
+++ b/stand_ins/FakePlatformStore.h
@@ -44,6 +44,13 @@
   /// earlier version then gets 410 Gone.
   void dropHistory();
 
+  /// Keeps a copy of all rows and of the version, for restoreCopy.
+  void saveCopy();
+
+  /// Goes back to the copy, as a store does that was restored: the era rises,
+  /// versions are given out again, and pending waits for changes fail.
+  void restoreCopy();
+
   /// Writes a row without conditions, as an operator does.
   void put(const std::string &Table, const std::string &Key,
            const std::string &Value);
@@ -69,6 +76,8 @@
 
   HttpResponse serve(const std::string &Caller, HttpRequest &Request,
                      const boost::asio::yield_context &Yield);
+  HttpResponse serveCall(const std::string &Caller, HttpRequest &Request,
+                         const boost::asio::yield_context &Yield);
   HttpResponse commit(const HttpRequest &Request);
   HttpResponse get(const HttpRequest &Request);
   HttpResponse waitForChanges(const HttpRequest &Request,
@@ -82,8 +91,12 @@
   boost::asio::io_context &Io;
   std::vector<std::unique_ptr<HttpServer>> Servers;
   std::mutex Mutex;
-  std::map<std::pair<std::string, std::string>, Row> Rows;
+  using RowTable = std::map<std::pair<std::string, std::string>, Row>;
+  RowTable Rows;
   std::uint64_t Version = 0;
+  std::uint64_t Era = 1;
+  RowTable CopiedRows;
+  std::uint64_t CopiedVersion = 0;
   std::uint64_t HistoryStart = 0;
   PlatformStoreFaults Faults;
   std::map<std::string, int> CallCounts;
--- a/tests/mesh/configuration/ConfigurationMeshTest.cpp
+++ b/tests/mesh/configuration/ConfigurationMeshTest.cpp
@@ -80,6 +80,32 @@
   }
 }
 
+/// Lets the store come back from a copy, after a short outage. \p Rewrite
+/// writes what operators write again; so many versions follow that those of
+/// before the outage have been given out again when the daemons reach the
+/// store.
+void restoreStore(PlatformMesh &Mesh, const std::function<void()> &Rewrite) {
+  constexpr int LostVersions = 60;
+  auto WriteOtherRows = [&](int Count) {
+    for (int Row = 0; Row < Count; ++Row) {
+      Mesh.store().put("other", "row" + std::to_string(Row), "");
+    }
+  };
+  Mesh.store().saveCopy();
+  WriteOtherRows(LostVersions);
+  std::this_thread::sleep_for(ConfigurationTime);
+
+  PlatformStoreFaults Away;
+  Away.RefusedCallers = {"*"};
+  Mesh.store().setFaults(Away);
+  Mesh.store().restoreCopy();
+  Rewrite();
+  WriteOtherRows(2 * LostVersions);
+  std::this_thread::sleep_for(milliseconds(500));
+  Mesh.store().setFaults({});
+  std::this_thread::sleep_for(ContactTime);
+}
+
 } // namespace
 
 /// A daemon whose wait for changes is never answered, and which no other daemon
@@ -146,3 +172,28 @@
     }
   }
 }
+
+/// A store that comes back from a copy gives out versions again: what was
+/// written at those that daemons knew must not be skipped.
+Test(ConfigurationMesh, RestoredStoreSkipsAConfiguration) {
+  PlatformMesh Mesh(136, FourDaemons);
+  cr_assert(Mesh.start());
+  restoreStore(Mesh, [&] { Mesh.declare(2, "second"); });
+  for (int Index = 0; Index < Mesh.count(); ++Index) {
+    unsigned Status = statusOf(Mesh.send(Index, "/second/1"));
+    cr_expect_eq(Status, 200, "daemon %d: %u", Index, Status);
+  }
+}
+
+/// The same for evacuations.
+Test(ConfigurationMesh, RestoredStoreSkipsAnEvacuation) {
+  PlatformMesh Mesh(137, FourDaemons);
+  cr_assert(Mesh.start());
+  restoreStore(Mesh, [&] { Mesh.store().put("op", "evacuate/r1-a", "{}"); });
+  std::this_thread::sleep_for(EvacuationTime - ContactTime);
+  std::size_t Before = Mesh.server(3).executedRequests().size();
+  for (int Sent = 0; Sent < 10; ++Sent) {
+    cr_expect_eq(statusOf(Mesh.send(3, "/lists/1")), 200);
+  }
+  cr_expect_eq(Mesh.server(3).executedRequests().size(), Before);
+}
