--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.h"
 #include "mesh/FleetScale.h"
+#include "mesh/store_access/StoreEra.h"
 
 namespace hemlockspar {
 
@@ -106,24 +107,32 @@
 
 void StoreSync::poll(TableFeed &Feed) {
   Feed.Paused = false;
-  if (Feed.HasRead) {
-    Feed.Version =
-        std::max(Feed.Version, this->View.completeVersion(Feed.Table));
-    Feed.FollowedAt = BootClock::now();
-    Feed.FollowWait = this->stretched(Feed.MaxWait, MaxStoreWait);
-    unsigned Number = ++Feed.CallNumber;
-    this->StoreClient.follow(Feed.Table, Feed.Version, Feed.FollowWait,
-                             [this, &Feed, Number](const FollowResult &Result) {
-                               if (Number == Feed.CallNumber) {
-                                 this->onFollowResult(Feed, Result);
-                               }
-                             });
+  if (!Feed.HasRead) {
+    this->readWholeTable(Feed);
     return;
   }
 
+  Feed.Version = std::max(Feed.Version, this->View.completeVersion(Feed.Table));
+  Feed.FollowedAt = BootClock::now();
+  Feed.FollowWait = this->stretched(Feed.MaxWait, MaxStoreWait);
+  unsigned Number = ++Feed.CallNumber;
+  this->StoreClient.follow(Feed.Table, Feed.Version, Feed.FollowWait,
+                           [this, &Feed, Number](const FollowResult &Result) {
+                             if (Number == Feed.CallNumber) {
+                               this->onFollowResult(Feed, Result);
+                             }
+                           });
+}
+
+void StoreSync::readWholeTable(TableFeed &Feed) {
   TimePoint SentAt = BootClock::now();
+  unsigned Number = ++Feed.CallNumber;
   this->StoreClient.readTable(
-      Feed.Table, [this, &Feed, SentAt](const std::optional<StoreRows> &Read) {
+      Feed.Table,
+      [this, &Feed, SentAt, Number](const std::optional<StoreRows> &Read) {
+        if (Number != Feed.CallNumber) {
+          return;
+        }
         if (!Read) {
           this->pollAfter(Feed, this->retryDelay(Feed.Failures++));
           return;
@@ -135,6 +144,11 @@
         }
         Feed.HasRead = true;
         Feed.Version = Read->Version;
+        this->onStoreVersion(Read->Version, &Feed);
+        if (&Feed == &this->InstanceFeed && this->OwnRow &&
+            !this->WriteInFlight) {
+          this->writeOwnRow();
+        }
         if (&Feed == &this->KeyFeed && !this->FollowingKeys) {
           Feed.HasRead = false;
           bool HasOwners = !Read->Rows.empty();
@@ -149,6 +163,29 @@
       });
 }
 
+void StoreSync::restart(TableFeed &Feed) {
+  Feed.HasRead = false;
+  Feed.Timer.cancel();
+  this->poll(Feed);
+}
+
+bool StoreSync::onStoreVersion(RowVersion Version, const TableFeed *Fresh) {
+  std::uint64_t Answered = eraOf(Version);
+  bool Restored = this->Era && Answered > *this->Era;
+  this->Era = std::max(Answered, this->Era.value_or(Answered));
+  if (!Restored) {
+    return false;
+  }
+
+  for (TableFeed *Feed :
+       {&this->ConfigurationFeed, &this->InstanceFeed, &this->KeyFeed}) {
+    if (Feed != Fresh) {
+      this->restart(*Feed);
+    }
+  }
+  return true;
+}
+
 void StoreSync::pollAfter(TableFeed &Feed, Duration Pause) {
   Feed.Paused = true;
   Feed.Timer.expires_after(Pause);
@@ -165,8 +202,7 @@
     LogLine(LogLevel::Info, "store", "history_lost")
         .with("table", Feed.Table)
         .with("version", static_cast<long long>(Feed.Version));
-    Feed.HasRead = false;
-    this->poll(Feed);
+    this->restart(Feed);
     return;
   case FollowOutcome::Failed:
     this->pollAfter(Feed, this->retryDelay(Feed.Failures++));
@@ -184,6 +220,9 @@
     this->onOperatorRows(Result.Rows, Feed.FollowedAt,
                          Early ? Duration::zero() : Feed.FollowWait);
   }
+  if (this->onStoreVersion(Result.Rows.Version, nullptr)) {
+    return;
+  }
   Feed.Version = std::max(Feed.Version, Result.Rows.Version);
   this->View.markComplete(Feed.Table, Feed.Version);
   bool Pause = !Result.Rows.Rows.empty() && &Feed != &this->ConfigurationFeed;
@@ -259,9 +298,7 @@
   switch (Result.Outcome) {
   case FollowOutcome::HistoryLost:
     if (Feed.HasRead) {
-      Feed.HasRead = false;
-      ++Feed.CallNumber;
-      this->poll(Feed);
+      this->restart(Feed);
     }
     return;
   case FollowOutcome::Failed:
@@ -429,6 +466,7 @@
         if (Read) {
           this->applyRows(this->ConfigurationFeed, *Read);
           this->onOperatorTableRead(*Read, SentAt);
+          this->onStoreVersion(Read->Version, nullptr);
         }
       });
 }
@@ -438,6 +476,7 @@
       tables::Instances, [this, OnDone](const std::optional<StoreRows> &Read) {
         if (Read) {
           this->View.apply(*Read);
+          this->onStoreVersion(Read->Version, nullptr);
         }
         OnDone(Read.has_value());
       });
@@ -448,6 +487,7 @@
                               [this](const std::optional<StoreRows> &Read) {
                                 if (Read) {
                                   this->View.apply(*Read);
+                                  this->onStoreVersion(Read->Version, nullptr);
                                 }
                               });
 }
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -79,6 +79,15 @@
   };
 
   void poll(TableFeed &Feed);
+  void readWholeTable(TableFeed &Feed);
+
+  /// Gives up the current call of \p Feed and reads its table.
+  void restart(TableFeed &Feed);
+
+  /// The store answered a call at \p Version. After a restoration rows may be
+  /// gone that the feeds take for known, so that all but \p Fresh, which has
+  /// read its table since, are restarted. Returns whether they are.
+  bool onStoreVersion(RowVersion Version, const TableFeed *Fresh);
   void pollAfter(TableFeed &Feed, Duration Pause);
   void onFollowResult(TableFeed &Feed, const FollowResult &Result);
   void onOperatorTableRead(const StoreRows &Rows, TimePoint SentAt);
@@ -116,6 +125,9 @@
   bool WriteInFlight = false;
   TimePoint NextKeysReadAt;
 
+  /// The store's era as of the newest response.
+  std::optional<std::uint64_t> Era;
+
   /// The newest configuration version that is known to be active at any
   /// instance.
   std::uint64_t NewestPeerVersion = 0;
--- a/tests/mesh/configuration/StoreSyncTest.cpp
+++ b/tests/mesh/configuration/StoreSyncTest.cpp
@@ -1,4 +1,5 @@
 #include "mesh/StoreSync.h"
+#include "mesh/store_access/StoreEra.h"
 
 #include <criterion/criterion.h>
 
@@ -11,7 +12,10 @@
 /// A store whose calls stay unanswered until the test answers them.
 class UnansweringStore : public Store {
 public:
-  void commit(const TableTransaction &, CommitCallback) override {}
+  void commit(const TableTransaction &, CommitCallback OnDone) override {
+    ++this->CommitCount;
+    this->OnCommitted = std::move(OnDone);
+  }
   void readTable(const std::string &Table, ReadCallback OnDone) override {
     ++this->ReadCounts[Table];
     this->Reads[Table] = std::move(OnDone);
@@ -25,12 +29,14 @@
     }
   }
 
-  void answerRead(RowVersion Version) {
-    StoreRows Rows;
-    Rows.Table = tables::Operator;
-    Rows.Version = Version;
-    Rows.Complete = true;
-    this->Reads.at(tables::Operator)(Rows);
+  void answerRead(RowVersion Version, const char *Table = tables::Operator,
+                  std::vector<TableRow> Rows = {}) {
+    StoreRows Read;
+    Read.Table = Table;
+    Read.Version = Version;
+    Read.Complete = true;
+    Read.Rows = std::move(Rows);
+    this->Reads.at(Table)(Read);
   }
 
   std::map<std::string, ReadCallback> Reads;
@@ -42,14 +48,17 @@
   /// Versions after which changes were asked for.
   std::vector<RowVersion> Versions;
   FollowCallback OnFollowed;
+  int CommitCount = 0;
+  CommitCallback OnCommitted;
 };
 
 class NoConfigurations : public ConfigurationCodec {
 public:
   std::string rowName() const override { return "config"; }
   std::optional<std::string>
-  evacuatedDataCenter(const std::string &) const override {
-    return std::nullopt;
+  evacuatedDataCenter(const std::string &Row) const override {
+    return Row.starts_with("evacuate/") ? std::optional(Row.substr(9))
+                                        : std::nullopt;
   }
   absl::StatusOr<Configuration> decode(const std::string &) const override {
     return absl::InvalidArgumentError("none");
@@ -66,9 +75,22 @@
   return Result;
 }
 
+RowVersion inEra(std::uint64_t Era, std::uint64_t Number) {
+  return StoreVersion{Era, Number}.rowVersion();
+}
+
 struct SyncFixture {
   SyncFixture() { this->Sync.start(); }
 
+  /// The next call of the feed finds that the store was restored, and reads the
+  /// table at \p Version.
+  void restoreStore(RowVersion Version, std::vector<TableRow> Rows = {}) {
+    FollowResult Dropped;
+    Dropped.Outcome = FollowOutcome::HistoryLost;
+    this->Remote.OnFollowed(Dropped);
+    this->Remote.answerRead(Version, tables::Operator, std::move(Rows));
+  }
+
   boost::asio::io_context Io;
   UnansweringStore Remote;
   MeshView View;
@@ -185,3 +207,36 @@
   cr_assert_eq(Fixture.Remote.ReadCounts[tables::Operator], 2);
   cr_assert_eq(Fixture.Remote.Versions.back(), 30);
 }
+
+/// When one table's feed finds that the store was restored, rows of the others
+/// are gone too, though their waits have not ended.
+Test(StoreSync, RestoredStoreLeavesOtherTablesOutdated) {
+  SyncFixture Fixture;
+  Fixture.Remote.answerRead(inEra(1, 10));
+  Fixture.Remote.answerRead(inEra(1, 10), tables::Instances);
+  Fixture.Remote.answerRead(inEra(1, 10), tables::Keys);
+  cr_assert_eq(Fixture.Remote.ReadCounts[tables::Instances], 1);
+
+  Fixture.restoreStore(inEra(2, 5));
+  cr_assert_eq(Fixture.Remote.ReadCounts[tables::Instances], 2);
+  cr_assert_eq(Fixture.Remote.ReadCounts[tables::Keys], 2);
+}
+
+/// The instance's own row is written again when a restored store has lost it.
+Test(StoreSync, RestoredStoreLosesTheOwnRow) {
+  SyncFixture Fixture;
+  Fixture.Remote.answerRead(inEra(1, 10));
+  Fixture.Remote.answerRead(inEra(1, 10), tables::Instances);
+  InstanceRow Own;
+  Own.Instance = "d0";
+  Own.PeerAddress = {"10.0.0.1", 7000};
+  Fixture.Sync.setOwnRow(Own);
+  StoreCommit Committed;
+  Committed.Result = {CommitOutcome::Committed, inEra(1, 11)};
+  Fixture.Remote.OnCommitted(Committed);
+  cr_assert_eq(Fixture.Remote.CommitCount, 1);
+
+  Fixture.restoreStore(inEra(2, 5));
+  Fixture.Remote.answerRead(inEra(2, 5), tables::Instances);
+  cr_assert_eq(Fixture.Remote.CommitCount, 2);
+}
