mesh: owners grant only what they granted before a restoration

A store that comes back from a copy has lost the newest handovers, takeovers and renewals of leases. Owners would grant keys that another one still holds, under tokens that have been used (OWNER, TWICE), and would take over from owners whose renewals are lost.

The key map holds the era in which it was written. While it is from an earlier era than the one in which it was read, an owner grants what it granted before and is assigned in both maps under the same token, as long as it has held its lease without a gap, and nobody moves keys. Once all leases of before have ended (9 s) the first owner writes the map again, under tokens above all earlier ones, in the present era. A process that started after the restoration sees the map's era and waits as well. Stores without eras, and maps written by earlier versions, are as before.

Evidence: the simulation restores copies of half a second to six seconds before.

--- a/mesh/KeyMap.cpp
+++ b/mesh/KeyMap.cpp
@@ -63,6 +63,9 @@
   return Entry;
 }
 
+/// Tokens of an era begin above all that can have been used before it.
+constexpr unsigned TokenBitsPerEra = 32;
+
 std::optional<std::vector<KeyMapOwner>>
 ownersFromJson(const Json::Value &Rows) {
   std::vector<KeyMapOwner> Owners;
@@ -149,6 +152,15 @@
   this->mergeAdjacent();
 }
 
+void KeyMap::confirmIn(std::uint64_t StoreEra) {
+  this->Era = StoreEra;
+  this->LastToken = std::max(this->LastToken, StoreEra << TokenBitsPerEra) + 1;
+  for (KeyMapEntry &Entry : this->Entries) {
+    Entry.Token = this->LastToken;
+  }
+  this->mergeAdjacent();
+}
+
 void KeyMap::mergeAdjacent() {
   std::vector<KeyMapEntry> Merged;
   for (KeyMapEntry &Entry : this->Entries) {
@@ -164,6 +176,9 @@
 std::string KeyMap::toText() const {
   Json::Value Text;
   Text["token"] = Json::UInt64(this->LastToken);
+  if (this->Era) {
+    Text["era"] = Json::UInt64(*this->Era);
+  }
   Text["holders"] = Json::Value(Json::arrayValue);
   Text["keys"] = Json::Value(Json::arrayValue);
 
@@ -193,6 +208,9 @@
   KeyMap Map;
   Map.Entries.clear();
   Map.LastToken = (*Value)["token"].asUInt64();
+  if ((*Value)["era"].isUInt64()) {
+    Map.Era = (*Value)["era"].asUInt64();
+  }
 
   KeyNumber Next = 0;
   for (const Json::Value &Row : (*Value)["keys"]) {
--- a/mesh/KeyMap.h
+++ b/mesh/KeyMap.h
@@ -50,6 +50,15 @@
   void assign(const KeyRange &Keys, const KeyMapOwner &Owner,
               const std::string &HandoverState);
 
+  /// Assigns all keys to their present owners under a token higher than any of
+  /// an earlier era of the store, and sets the era.
+  void confirmIn(std::uint64_t StoreEra);
+
+  /// The era of the store in which the map was written; empty for a map of a
+  /// store without eras.
+  const std::optional<std::uint64_t> &era() const { return this->Era; }
+  void setEra(std::uint64_t StoreEra) { this->Era = StoreEra; }
+
   /// Converts to and from the row's text; fromText returns nothing when the
   /// text is malformed.
   std::string toText() const;
@@ -61,6 +70,7 @@
 
   std::vector<KeyMapEntry> Entries;
   FencingToken LastToken = 0;
+  std::optional<std::uint64_t> Era;
 };
 
 } // namespace hemlockspar
--- a/mesh/KeyOwnershipManager.cpp
+++ b/mesh/KeyOwnershipManager.cpp
@@ -5,6 +5,7 @@
 #include "mesh/FleetScale.h"
 #include "mesh/placement/KeyPlacement.h"
 #include "mesh/placement/SpareCapacity.h"
+#include "mesh/store_access/StoreEra.h"
 
 #include <algorithm>
 #include <cmath>
@@ -13,10 +14,10 @@
 
 namespace {
 
-constexpr std::array<const char *, 11> KeyEventNames = {
-    "first_layout",   "lease_lost",    "lease_held",          "run_adopted",
-    "handover_begun", "handover_done", "handover_given_up",   "server_lost",
-    "taken_over",     "write_failed",  "former_keys_given_up"};
+constexpr std::array<const char *, 12> KeyEventNames = {
+    "first_layout",   "lease_lost",    "lease_held",           "run_adopted",
+    "handover_begun", "handover_done", "handover_given_up",    "server_lost",
+    "taken_over",     "write_failed",  "former_keys_given_up", "map_confirmed"};
 
 /// A grant outlasts this many heartbeats, so that three reports in a row may be
 /// late before requests are rejected.
@@ -164,6 +165,31 @@
   return this->View.findKeyMap(this->service());
 }
 
+std::uint64_t KeyOwnershipManager::mapEra() const {
+  const MeshView::VersionedKeyMap *Known = this->map();
+  return eraOf(
+      std::max(Known ? Known->Version : 0, this->View.keysReadVersion()));
+}
+
+bool KeyOwnershipManager::isConfirmed(
+    const MeshView::VersionedKeyMap &Known) const {
+  return !Known.Map.era() || *Known.Map.era() >= eraOf(Known.Version);
+}
+
+void KeyOwnershipManager::observeMap(TimePoint Now) {
+  std::uint64_t Era = this->mapEra();
+  const MeshView::VersionedKeyMap *Known = this->map();
+  if (Era == 0) {
+    return;
+  }
+  bool OwnUnknown =
+      !Known || (this->hasUncertainWrite() && this->UncertainServerLoss);
+  this->Restored.observe(Era, Known && this->isConfirmed(*Known),
+                         OwnUnknown ? std::vector<KeyMapEntry>()
+                                    : this->entriesNotInHandover(),
+                         this->Lease.isHeld(Now), Now);
+}
+
 bool KeyOwnershipManager::hasAuthority(TimePoint Now) const {
   return this->Lease.isHeld(Now) &&
          this->View.keysReadVersion() >= this->Lease.continuousSince();
@@ -224,6 +250,10 @@
   if (!this->HasReport || !Known || Uncertain || !this->hasAuthority(Now)) {
     return std::nullopt;
   }
+  bool Confirmed = this->isConfirmed(*Known);
+  if (!Confirmed && !this->Restored.knows(this->mapEra())) {
+    return std::nullopt;
+  }
 
   auto UnderLease = std::chrono::duration_cast<Duration>(
       (this->Lease.expiresAt() - GrantMargin - ReceivedAt) /
@@ -235,7 +265,11 @@
 
   KeyGrants Wanted;
   Wanted.HoldTime = std::chrono::milliseconds(toMilliseconds(Hold));
-  for (const KeyMapEntry &Entry : this->entriesNotInHandover()) {
+  std::vector<KeyMapEntry> Entries = this->entriesNotInHandover();
+  if (!Confirmed) {
+    Entries = this->Restored.grantedBefore(Entries);
+  }
+  for (const KeyMapEntry &Entry : Entries) {
     if (Entry.Owner == this->localOwner()) {
       Wanted.Granted.push_back({Entry.Keys, Entry.Token, Entry.HandoverState});
     }
@@ -382,6 +416,7 @@
 // The key map
 
 void KeyOwnershipManager::tick(TimePoint Now) {
+  this->observeMap(Now);
   this->updateLease(Now);
   this->Handovers.recordReleases(this->Grants.takeReleased(Now));
   if (this->HasReport && this->hasAuthority(Now)) {
@@ -396,7 +431,14 @@
 
   bool Free = this->PendingWrite == MapWrite::None &&
               !this->hasUncertainWrite() && Now >= this->WriteRetryAt;
-  if (!Free || this->tryGiveUpFormerKeys(Now)) {
+  if (!Free) {
+    return;
+  }
+  if (this->map() && !this->isConfirmed(*this->map())) {
+    this->tryConfirmMap(Now);
+    return;
+  }
+  if (this->tryGiveUpFormerKeys(Now)) {
     return;
   }
   if (!this->map()) {
@@ -410,6 +452,15 @@
   this->offerKeys(Now);
 }
 
+void KeyOwnershipManager::tryConfirmMap(TimePoint Now) {
+  if (!this->Restored.haveLeasesEnded(Now)) {
+    return;
+  }
+  KeyMap Updated = this->map()->Map;
+  Updated.confirmIn(this->mapEra());
+  this->writeMap(MapWrite::Confirmation, Updated, {});
+}
+
 std::vector<OwnerCandidate>
 KeyOwnershipManager::candidates(bool WithSelf, TimePoint Now) const {
   return this->candidatesOf(this->service(), WithSelf, Now);
@@ -464,11 +515,17 @@
     return false;
   }
   bool Confirmed = this->CandidatesConfirmed == Confirmation::Done;
-  if (All.empty() || !this->mayOwnKeys() || !Confirmed) {
+  bool LeasesEnded = !this->Restored.hasSeenRestoration() ||
+                     this->Restored.haveLeasesEnded(Now);
+  if (All.empty() || !this->mayOwnKeys() || !Confirmed || !LeasesEnded) {
     return false;
   }
 
-  this->writeMap(MapWrite::InitialLayout, initialLayout(All), {});
+  KeyMap Layout = initialLayout(All);
+  if (this->mapEra() > 0) {
+    Layout.confirmIn(this->mapEra());
+  }
+  this->writeMap(MapWrite::InitialLayout, Layout, {});
   return true;
 }
 
@@ -564,7 +621,7 @@
 
   for (const auto &[Service, Known] : this->View.keyMaps()) {
     std::vector<KeyRange> Former;
-    if (Service != this->service()) {
+    if (Service != this->service() && this->isConfirmed(Known)) {
       for (const KeyMapEntry &Entry : Known.Map.entriesOf(this->Instance)) {
         Former.push_back(Entry.Keys);
       }
@@ -716,6 +773,7 @@
   bool Empty = Known && Held == 0 && this->Offers.incomingLoad(Now) == 0;
   bool CanAccept = this->HasReport && this->mayOwnKeys() &&
                    !this->ConnectionRefused && this->hasAuthority(Now) &&
+                   Known && this->isConfirmed(*Known) &&
                    this->Handovers.empty();
   bool Wanted = Empty || GiverLoad - Load >= MinLoadGap;
   if (!CanAccept || !Wanted) {
@@ -735,8 +793,8 @@
     this->PeerLeases.setLoad(Receiver, Response->Load);
   }
   const InstanceRow *Row = this->View.findInstance(Receiver);
-  bool Accepted =
-      Response && Response->Accepted && Row && this->map() && !this->Leaving;
+  bool Accepted = Response && Response->Accepted && Row && this->map() &&
+                  this->isConfirmed(*this->map()) && !this->Leaving;
   if (!Accepted || !this->tryHandOver(*Row, Response->AcceptedLoad, Now)) {
     this->Offers.recordDecline(Receiver, Now);
   }
@@ -852,7 +910,11 @@
   this->NewOwners = newOwners(Known ? &Known->Map : nullptr, Updated);
   this->NewOwners.erase(this->Instance);
   Write.Conditions.push_back({Key, Known ? Known->Version : 0});
-  Write.Writes.push_back({Key, Updated.toText()});
+  KeyMap Written = Updated;
+  if (std::uint64_t Era = Known ? eraOf(Known->Version) : this->mapEra()) {
+    Written.setEra(Era);
+  }
+  Write.Writes.push_back({Key, Written.toText()});
   this->Actions.commitMap(Write);
 }
 
@@ -945,6 +1007,9 @@
   case MapWrite::Takeover:
     this->LeaseReadWanted = true;
     break;
+  case MapWrite::Confirmation:
+    this->Actions.onKeyEvent(KeyEvent::MapConfirmed, "");
+    break;
   case MapWrite::ServerLost:
   case MapWrite::FormerKeys:
   case MapWrite::None:
--- a/mesh/KeyOwnershipManager.h
+++ b/mesh/KeyOwnershipManager.h
@@ -7,6 +7,7 @@
 #include "mesh/OfferTracker.h"
 #include "mesh/OwnLease.h"
 #include "mesh/ServerGrants.h"
+#include "mesh/ownership/RestoredKeys.h"
 
 #include <random>
 
@@ -25,6 +26,7 @@
   TakenOver,
   WriteFailed,
   FormerKeysGivenUp,
+  MapConfirmed,
 };
 
 /// Event name of \p Event in the log.
@@ -198,7 +200,8 @@
     Handover,
     ServerLost,
     FormerKeys,
-    Takeover
+    Takeover,
+    Confirmation
   };
 
   const std::string &service() const { return this->Report.Service; }
@@ -206,6 +209,15 @@
     return {this->Instance, this->Report.Incarnation};
   }
   const MeshView::VersionedKeyMap *map() const;
+
+  /// The era of the store in which the key map was read.
+  std::uint64_t mapEra() const;
+
+  /// Whether \p Known was written in the era in which it was read, so that no
+  /// later map can have been lost.
+  bool isConfirmed(const MeshView::VersionedKeyMap &Known) const;
+  void observeMap(TimePoint Now);
+  void tryConfirmMap(TimePoint Now);
   bool hasAuthority(TimePoint Now) const;
   bool isServerLost(TimePoint Now) const;
   TimePoint reportDue() const {
@@ -275,6 +287,7 @@
   bool ConnectionRefused = false;
   TimePoint LastReportAt;
 
+  RestoredKeys Restored;
   KeyHandovers Handovers;
   MapWrite PendingWrite = MapWrite::None;
 
--- a/tests/mesh/KeyOwnershipPropertyTest.cpp
+++ b/tests/mesh/KeyOwnershipPropertyTest.cpp
@@ -189,6 +189,37 @@
   }
 }
 
+/// A store that comes back from a copy must not take keys away from owners that
+/// have not changed since.
+Test(KeyOwnershipManager, RestoredStoreLeavesKeysWithoutAHolder) {
+  for (std::uint32_t Seed = 1; Seed <= 20; ++Seed) {
+    KeySimulation Simulation(Seed, 4);
+    cr_assert(Simulation.run(seconds(12)));
+    Simulation.inject(
+        {{KeyFaultKind::StoreRestored, 0, seconds(12), milliseconds(800)}});
+    for (int Tenth = 0; Tenth < 200; ++Tenth) {
+      cr_assert(Simulation.run(milliseconds(100)), "seed %u: %s", Seed,
+                Simulation.violation().c_str());
+      cr_assert(Simulation.allKeysHeld(),
+                "seed %u: keys without a holder after %d00 ms", Seed, Tenth);
+    }
+  }
+}
+
+/// Keys that were handed over or taken over in writes that a restored store has
+/// lost must not be granted by their former owners as well.
+Test(KeyOwnershipManager, RestoredStoreGivesKeysTwoHolders) {
+  for (std::uint32_t Seed = 1; Seed <= 60; ++Seed) {
+    KeySimulation Simulation(Seed, 4);
+    Simulation.inject(
+        {{KeyFaultKind::ServerLeaves, 2, seconds(9), milliseconds(2500)},
+         {KeyFaultKind::StoreRestored, 0, seconds(11), milliseconds(400)}});
+    cr_assert(Simulation.run(seconds(40)), "seed %u: %s", Seed,
+              Simulation.violation().c_str());
+    cr_assert(Simulation.allKeysHeld(), "seed %u", Seed);
+  }
+}
+
 /// The keys of a leaving backend server must go to the others with their state.
 Test(KeyOwnershipManager, LeavingServerHandsOverKeys) {
   for (std::uint32_t Seed = 5; Seed < 45; ++Seed) {
--- a/tests/mesh/KeySimulation.cpp
+++ b/tests/mesh/KeySimulation.cpp
@@ -17,6 +17,9 @@
 
 constexpr auto TickInterval = milliseconds(100);
 
+constexpr auto CopyInterval = milliseconds(500);
+constexpr std::size_t MaxCopies = 12;
+
 /// Token checks sample every ProbeStride-th key: dense enough to hit each range
 /// that is moved.
 constexpr KeyNumber ProbeStride = 97;
@@ -59,6 +62,7 @@
   return std::any_of(
       this->Faults.begin(), this->Faults.end(), [&](const KeyFault &Fault) {
         bool Affected = Fault.Kind == KeyFaultKind::StoreDown ||
+                        Fault.Kind == KeyFaultKind::StoreRestored ||
                         Fault.NodeIndex % int(this->Nodes.size()) == Index;
         return Fault.Kind == Kind && Affected &&
                this->Now >= this->StartedAt + Fault.StartsAfter &&
@@ -88,6 +92,8 @@
   Member.NextPollAt = this->Now;
   Member.NextTickAt = this->Now;
   Member.LastWrittenRow = {};
+  Member.Era = 0;
+  Member.ReadEras.clear();
 }
 
 void KeySimulation::startServer(Node &Member) {
@@ -142,11 +148,56 @@
 
 // The store
 
+void KeySimulation::restoreStore() {
+  bool Away = this->isFaultActive(KeyFaultKind::StoreRestored, 0);
+  bool Due =
+      !Away && !this->RestorationPending && this->Now >= this->NextCopyAt;
+  if (Due || this->Copies.empty()) {
+    this->NextCopyAt = this->Now + CopyInterval;
+    this->Copies.emplace_back(this->Rows, this->LastVersion);
+    if (this->Copies.size() > MaxCopies) {
+      this->Copies.pop_front();
+    }
+  }
+  if (Away || !this->RestorationPending) {
+    this->RestorationPending = Away;
+    return;
+  }
+
+  this->RestorationPending = false;
+  std::uint64_t Era = eraOf(this->LastVersion) + 1;
+  auto InNewEra = [Era](RowVersion Version) {
+    return StoreVersion{Era, StoreVersion::of(Version).Number}.rowVersion();
+  };
+  auto [Restored, Version] = this->Copies[this->Random() % this->Copies.size()];
+  this->Rows = std::move(Restored);
+  this->LastVersion = InNewEra(Version);
+  for (auto &[Key, Row] : this->Rows) {
+    Row.Version = InNewEra(Row.Version);
+  }
+  this->Copies.clear();
+  this->Copies.emplace_back(this->Rows, this->LastVersion);
+  for (auto &Member : this->Nodes) {
+    Member->LastWrittenRow = {};
+  }
+}
+
+bool KeySimulation::hasOlderCondition(const TableTransaction &Write,
+                                      std::uint64_t Era) {
+  return std::any_of(Write.Conditions.begin(), Write.Conditions.end(),
+                     [&](const RowCondition &Condition) {
+                       return Condition.Version != 0 &&
+                              eraOf(Condition.Version) < Era;
+                     });
+}
+
 StoreCommit KeySimulation::execute(const TableTransaction &Write) {
   for (const RowCondition &Condition : Write.Conditions) {
     StoredRow &Row = this->Rows[Condition.Key];
     RowVersion Version = Row.Value ? Row.Version : 0;
-    if (Version != Condition.Version) {
+    // The store knows nothing of the eras of conditions.
+    if (StoreVersion::of(Version).Number !=
+        StoreVersion::of(Condition.Version).Number) {
       StoreCommit Refused = {
           {CommitOutcome::Conflict, 0}, {}, this->storeClock()};
       for (const RowCondition &Known : Write.Conditions) {
@@ -163,6 +214,10 @@
   for (const RowWrite &One : Write.Writes) {
     this->Rows[One.Key] = {One.Value, this->LastVersion};
   }
+  // Like StoreClient, for a condition that held by chance.
+  if (hasOlderCondition(Write, eraOf(this->LastVersion))) {
+    return {{CommitOutcome::Unknown, 0}, {}, this->storeClock()};
+  }
   return {
       {CommitOutcome::Committed, this->LastVersion}, {}, this->storeClock()};
 }
@@ -180,8 +235,12 @@
   StoreCommit NotRun = {{CommitOutcome::NotRun, 0}, {}, std::nullopt};
   StoreCommit Unknown = {{CommitOutcome::Unknown, 0}, {}, std::nullopt};
 
-  if (this->isFaultActive(KeyFaultKind::StoreRefuses, Index) ||
-      this->isFaultActive(KeyFaultKind::StoreDown, Index)) {
+  if (hasOlderCondition(Write, Member.Era)) {
+    StoreCommit Conflict = {{CommitOutcome::Conflict, 0}, {}, std::nullopt};
+    this->schedule(milliseconds(0), [Finish, Conflict] { Finish(Conflict); });
+  } else if (this->isFaultActive(KeyFaultKind::StoreRefuses, Index) ||
+             this->isFaultActive(KeyFaultKind::StoreRestored, Index) ||
+             this->isFaultActive(KeyFaultKind::StoreDown, Index)) {
     this->schedule(this->randomDuration(1, 60),
                    [Finish, NotRun] { Finish(NotRun); });
   } else if (this->isFaultActive(KeyFaultKind::StoreSilent, Index)) {
@@ -223,6 +282,7 @@
   std::uint64_t Process = Member.Process;
   bool Fails = this->isFaultActive(KeyFaultKind::StoreRefuses, Member.Index) ||
                this->isFaultActive(KeyFaultKind::StoreDown, Member.Index) ||
+               this->isFaultActive(KeyFaultKind::StoreRestored, Member.Index) ||
                this->isFaultActive(KeyFaultKind::StoreSilent, Member.Index);
   this->schedule(this->randomDuration(1, 60), [this, &Member, Table, OnDone,
                                                Process, Fails] {
@@ -230,12 +290,15 @@
     if (!Fails) {
       Read = this->rowsOf(Table);
     }
-    this->schedule(
-        this->randomDuration(1, 60), [this, &Member, Read, OnDone, Process] {
-          if (Member.Process == Process) {
-            this->deliverToDaemon(Member, [OnDone, Read] { OnDone(Read); });
-          }
+    this->schedule(this->randomDuration(1, 60), [this, &Member, Read, OnDone,
+                                                 Process] {
+      if (Member.Process == Process) {
+        this->deliverToDaemon(Member, [&Member, OnDone, Read] {
+          Member.Era = std::max(Member.Era, Read ? eraOf(Read->Version) : 0);
+          OnDone(Read);
         });
+      }
+    });
   });
 }
 
@@ -247,16 +310,19 @@
     }
     Member.NextPollAt = this->Now + this->randomDuration(100, 400);
     for (const char *Table : {tables::Instances, tables::Keys}) {
-      this->read(Member, Table,
-                 [&Member](const std::optional<StoreRows> &Read) {
-                   if (!Read) {
-                     return;
-                   }
-                   // Applied as changes, not as a read of the whole table.
-                   StoreRows Changes = *Read;
-                   Changes.Complete = false;
-                   Member.View->apply(Changes);
-                 });
+      this->read(
+          Member, Table, [&Member](const std::optional<StoreRows> &Read) {
+            if (!Read) {
+              return;
+            }
+            // Applied as changes, not as a read of the whole table,
+            // unless the store was restored.
+            StoreRows Changes = *Read;
+            std::uint64_t &ReadEra = Member.ReadEras[Read->Table];
+            Changes.Complete = ReadEra != 0 && eraOf(Read->Version) > ReadEra;
+            ReadEra = eraOf(Read->Version);
+            Member.View->apply(Changes);
+          });
     }
 
     InstanceRow Row = Member.row();
@@ -419,6 +485,7 @@
 void KeySimulation::step() {
   this->Now += Step;
   this->applyFaults();
+  this->restoreStore();
 
   for (auto &Owned : this->Nodes) {
     Node &Member = *Owned;
--- a/tests/mesh/KeySimulation.h
+++ b/tests/mesh/KeySimulation.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "mesh/KeyOwnershipManager.h"
+#include "mesh/store_access/StoreEra.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <random>
@@ -36,9 +38,12 @@
   /// Two of five grant and release calls get no answer and are applied 2 to 12
   /// seconds later.
   CallsLate,
+  /// The store serves nobody, and comes back from a copy of half a second to
+  /// six seconds before.
+  StoreRestored,
 };
 
-inline constexpr int KeyFaultKindCount = 12;
+inline constexpr int KeyFaultKindCount = 13;
 
 /// How keys are granted to the backend servers.
 enum class GrantKind { Responses, Calls };
@@ -116,6 +121,9 @@
                     const KeyRange &Keys, const std::function<void()> &OnDone);
   void sendCall(Node &Member, const std::function<void()> &Apply,
                 const std::function<void()> &OnLost);
+  void restoreStore();
+  static bool hasOlderCondition(const TableTransaction &Write,
+                                std::uint64_t Era);
   StoreCommit execute(const TableTransaction &Write);
   void commit(Node &Member, const TableTransaction &Write,
               const std::function<void(const StoreCommit &)> &OnDone);
@@ -134,8 +142,16 @@
   TimePoint Now;
   TimePoint StartedAt;
   std::multimap<TimePoint, std::function<void()>> Events;
-  std::map<std::string, StoredRow> Rows;
-  RowVersion LastVersion = 0;
+  using RowTable = std::map<std::string, StoredRow>;
+  RowTable Rows;
+
+  /// The store's version; it holds the era (see StoreVersion).
+  RowVersion LastVersion = StoreVersion{1, 0}.rowVersion();
+
+  /// Copies of the store, one every half second, the newest last.
+  std::deque<std::pair<RowTable, RowVersion>> Copies;
+  TimePoint NextCopyAt;
+  bool RestorationPending = false;
   std::vector<std::unique_ptr<Node>> Nodes;
   std::vector<KeyFault> Faults;
   std::map<KeyNumber, double> KeyLoads;
--- a/tests/mesh/KeySimulationNode.h
+++ b/tests/mesh/KeySimulationNode.h
@@ -172,6 +172,11 @@
   TimePoint NextPollAt;
   InstanceRow LastWrittenRow;
 
+  /// The newest era of the store that the daemon has heard of, and those in
+  /// which it has read whole tables.
+  std::uint64_t Era = 0;
+  std::map<std::string, std::uint64_t> ReadEras;
+
   /// Sequence number of the newest report of this incarnation that was
   /// accepted.
   std::uint64_t LastSequence = 0;
