mesh: an evacuation that a restored store has lost stays in force

Callers' requests would go to an evacuated data centre again from the first read of a restored store until operators have written the row again, and the store says nothing of when that is. Evacuations that the first reads of a new era lack stay in force for 3 s; the table is read once more then, so that one that was withdrawn in the lost seconds ends. Configurations never go back.

StoreSync.RestoredStoreWithdrawsAnEvacuation failed before (withdrawn at the first read).

--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -83,7 +83,8 @@
 StoreSync::StoreSync(asio::io_context &Io, Store &StoreClient, MeshView &View,
                      const ConfigurationCodec &Codec,
                      const MeshSettings &Config)
-    : StoreClient(StoreClient), View(View), Codec(Codec), Config(Config),
+    : StoreClient(StoreClient), View(View), Operators(View, Codec),
+      Config(Config),
       ConfigurationFeed(Io, tables::Operator, ConfigurationWait),
       InstanceFeed(Io, tables::Instances, TableWait),
       KeyFeed(Io, tables::Keys, TableWait), WriteTimer(Io), CatchUpTimer(Io),
@@ -239,7 +240,7 @@
   // A read does not tell when the last row was deleted.
   TableFreshness &Freshness = this->View.operatorFreshness();
   Freshness.onChange(Rows.Version);
-  if (!this->UnreadableRow) {
+  if (!this->Operators.unreadableRow()) {
     Freshness.confirm(Rows.Version, SentAt);
   }
 }
@@ -247,7 +248,7 @@
 void StoreSync::onOperatorRows(const StoreRows &Rows, TimePoint FollowedAt,
                                Duration Wait) {
   TableFreshness &Freshness = this->View.operatorFreshness();
-  if (this->UnreadableRow) {
+  if (this->Operators.unreadableRow()) {
     return;
   }
   if (Rows.Rows.empty()) {
@@ -276,15 +277,20 @@
           std::max<std::size_t>(this->View.instances().size(), 1));
   this->CheckConsideredAt = Now;
   bool Early = Draw(this->Random) < Expected;
+  if (Feed.HasRead && this->Operators.isReadDue(Now)) {
+    this->restart(Feed);
+    return;
+  }
   if (Feed.Paused || this->CheckPending || !Freshness.isCheckDue(Now, Early)) {
     return;
   }
 
   this->CheckPending = true;
   Freshness.onCheckBegun(Now, Draw(this->Random));
-  RowVersion After = this->UnreadableRow
-                         ? std::min(Feed.Version, *this->UnreadableRow - 1)
-                         : Feed.Version;
+  RowVersion After =
+      this->Operators.unreadableRow()
+          ? std::min(Feed.Version, *this->Operators.unreadableRow() - 1)
+          : Feed.Version;
   this->StoreClient.follow(Feed.Table, After, Duration::zero(),
                            [this, Now](const FollowResult &Result) {
                              this->CheckPending = false;
@@ -385,53 +391,7 @@
     this->View.apply(Rows);
     return;
   }
-  this->applyEvacuations(Rows);
-  for (const TableRow &Row : Rows.Rows) {
-    this->applyConfiguration(Row);
-  }
-}
-
-void StoreSync::applyEvacuations(const StoreRows &Rows) {
-  std::set<std::string> DataCenters =
-      Rows.Complete ? std::set<std::string>() : this->View.evacuated();
-  std::string TablePrefix = rowKey(tables::Operator, "");
-
-  for (const TableRow &Row : Rows.Rows) {
-    auto DataCenter = Row.Key.starts_with(TablePrefix)
-                          ? this->Codec.evacuatedDataCenter(
-                                Row.Key.substr(TablePrefix.size()))
-                          : std::nullopt;
-    if (DataCenter && Row.Value) {
-      DataCenters.insert(*DataCenter);
-    } else if (DataCenter) {
-      DataCenters.erase(*DataCenter);
-    }
-  }
-  this->View.setEvacuated(DataCenters, Rows.Version);
-}
-
-void StoreSync::applyConfiguration(const TableRow &Row) {
-  bool IsConfiguration =
-      Row.Key == rowKey(tables::Operator, this->Codec.rowName());
-  if (!IsConfiguration || !Row.Value) {
-    return;
-  }
-
-  auto Read = this->Codec.decode(*Row.Value);
-  if (!Read.ok()) {
-    if (Row.Version > this->UnreadableRow.value_or(0)) {
-      this->UnreadableRow = Row.Version;
-      LogLine(LogLevel::Error, "store", "configuration_ignored")
-          .with("row_version", static_cast<long long>(Row.Version))
-          .with("reason", std::string(Read.status().message()));
-    }
-    return;
-  }
-  if (this->UnreadableRow && Row.Version >= *this->UnreadableRow) {
-    this->UnreadableRow.reset();
-  }
-  this->View.activateConfiguration(
-      std::make_shared<const Configuration>(std::move(*Read)));
+  this->Operators.apply(Rows, BootClock::now());
 }
 
 bool StoreSync::isConfigurationStale() const {
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -4,6 +4,7 @@
 #include "mesh/MeshView.h"
 #include "mesh/ReportCodec.h"
 #include "mesh/Store.h"
+#include "mesh/configuration/OperatorTable.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -105,14 +106,12 @@
   bool isRegionReader() const;
   bool isConfigurationStale() const;
   void readConfiguration();
-  void applyConfiguration(const TableRow &Row);
-  void applyEvacuations(const StoreRows &Rows);
   void writeOwnRow();
   void onOwnRowWritten(const InstanceRow &Written, const StoreCommit &Commit);
 
   Store &StoreClient;
   MeshView &View;
-  const ConfigurationCodec &Codec;
+  OperatorTable Operators;
   const MeshSettings &Config;
   TableFeed ConfigurationFeed;
   TableFeed InstanceFeed;
@@ -134,10 +133,6 @@
   boost::asio::steady_timer CatchUpTimer;
   bool CatchingUp = false;
 
-  /// The newest configuration row that could not be read. Until one is read
-  /// that is as new, nothing is confirmed, and checks ask for it again.
-  std::optional<RowVersion> UnreadableRow;
-
   /// When a check of the operators' table was last considered.
   TimePoint CheckConsideredAt;
 
--- a/tests/mesh/configuration/StoreSyncTest.cpp
+++ b/tests/mesh/configuration/StoreSyncTest.cpp
@@ -2,6 +2,7 @@
 #include "mesh/store_access/StoreEra.h"
 
 #include <criterion/criterion.h>
+#include <thread>
 
 using namespace hemlockspar;
 using std::chrono::milliseconds;
@@ -240,3 +241,19 @@
   Fixture.Remote.answerRead(inEra(2, 5), tables::Instances);
   cr_assert_eq(Fixture.Remote.CommitCount, 2);
 }
+
+/// An evacuation that a restored store has lost stays in force while operators
+/// write it again, but not for good.
+Test(StoreSync, RestoredStoreWithdrawsAnEvacuation) {
+  SyncFixture Fixture;
+  Fixture.Remote.answerRead(inEra(1, 10), tables::Operator,
+                            {{"op/evacuate/x", inEra(1, 9), "{}"}});
+  cr_assert(Fixture.View.isEvacuated("x"));
+  Fixture.restoreStore(inEra(2, 5));
+  cr_assert(Fixture.View.isEvacuated("x"));
+
+  std::this_thread::sleep_for(milliseconds(3100));
+  Fixture.Sync.checkOperatorRows(BootClock::now());
+  Fixture.Remote.answerRead(inEra(2, 20));
+  cr_assert_not(Fixture.View.isEvacuated("x"));
+}
