mesh: refuse requests for suspended keys at once

After a restoration a key that may be held elsewhere cannot be served for up to 9 s; requests for it waited at its owner until their time was nearly over. The owner refuses them at once now, with the rest of that time as Retry-After. The immediate refusal itself has no test.

--- a/mesh/BackendDispatcher.cpp
+++ b/mesh/BackendDispatcher.cpp
@@ -158,7 +158,8 @@
                           Context.Deadline - Now,
                           this->RouteTimes.expected(Context.RouteName), false});
   while (!this->Keys.canServe(*Context.Key, BootClock::now())) {
-    if (!this->Keys.isOwnedHere(*Context.Key) || BootClock::now() >= Until) {
+    if (!this->Keys.isOwnedHere(*Context.Key) ||
+        this->Keys.isSuspended(*Context.Key) || BootClock::now() >= Until) {
       return false;
     }
     sleepFor(this->Io, KeyPollInterval, Yield);
--- a/mesh/KeyAdmission.h
+++ b/mesh/KeyAdmission.h
@@ -16,6 +16,10 @@
   /// or it is being handed to another owner.
   virtual bool isOwnedHere(KeyNumber Key) const = 0;
 
+  /// Whether \p Key, which this instance owns, cannot be served anywhere for
+  /// seconds: another instance may hold it after the store was restored.
+  virtual bool isSuspended(KeyNumber Key) const = 0;
+
   /// Estimated time from \p Now until \p Key, which this instance owns, can be
   /// served here or by its next owner.
   virtual Duration estimatedWait(KeyNumber Key, TimePoint Now) const = 0;
--- a/mesh/KeyOwnershipManager.cpp
+++ b/mesh/KeyOwnershipManager.cpp
@@ -325,8 +325,21 @@
          Known->Map.find(Key).Owner.Instance == this->Instance;
 }
 
+bool KeyOwnershipManager::isSuspended(KeyNumber Key) const {
+  const MeshView::VersionedKeyMap *Known = this->map();
+  if (!Known || this->isConfirmed(*Known)) {
+    return false;
+  }
+  KeyMapEntry Entry = Known->Map.find(Key);
+  Entry.Keys = {Key, Key};
+  return this->Restored.grantedBefore({Entry}).empty();
+}
+
 Duration KeyOwnershipManager::estimatedWait(KeyNumber Key,
                                             TimePoint Now) const {
+  if (this->isSuspended(Key)) {
+    return this->Restored.timeUntilLeasesEnd(Now);
+  }
   return this->Grants.expectedDelay(this->reportDue(),
                                     this->Handovers.overlaps({Key, Key}), Now);
 }
@@ -453,7 +466,7 @@
 }
 
 void KeyOwnershipManager::tryConfirmMap(TimePoint Now) {
-  if (!this->Restored.haveLeasesEnded(Now)) {
+  if (this->Restored.timeUntilLeasesEnd(Now) > Duration::zero()) {
     return;
   }
   KeyMap Updated = this->map()->Map;
@@ -516,7 +529,7 @@
   }
   bool Confirmed = this->CandidatesConfirmed == Confirmation::Done;
   bool LeasesEnded = !this->Restored.hasSeenRestoration() ||
-                     this->Restored.haveLeasesEnded(Now);
+                     this->Restored.timeUntilLeasesEnd(Now) == Duration::zero();
   if (All.empty() || !this->mayOwnKeys() || !Confirmed || !LeasesEnded) {
     return false;
   }
--- a/mesh/KeyOwnershipManager.h
+++ b/mesh/KeyOwnershipManager.h
@@ -172,6 +172,7 @@
   /// can be named then.
   bool isOwnedHere(KeyNumber Key) const override;
 
+  bool isSuspended(KeyNumber Key) const override;
   Duration estimatedWait(KeyNumber Key, TimePoint Now) const override;
 
   void onKeyRefused(KeyNumber Key, TimePoint Now) override;
--- a/mesh/ownership/RestoredKeys.h
+++ b/mesh/ownership/RestoredKeys.h
@@ -3,6 +3,8 @@
 #include "core/Clock.h"
 #include "mesh/KeyMap.h"
 
+#include <algorithm>
+
 namespace hemlockspar {
 
 /// Decides which keys an instance may grant after the store has been restored
@@ -33,9 +35,11 @@
   std::vector<KeyMapEntry>
   grantedBefore(const std::vector<KeyMapEntry> &Own) const;
 
-  /// Whether no grant of an earlier era can be in force.
-  bool haveLeasesEnded(TimePoint Now) const {
-    return this->KnownEra && Now >= this->EraSeenAt + LeaseEnd;
+  /// Time until no grant of an earlier era can be in force; zero from then on.
+  Duration timeUntilLeasesEnd(TimePoint Now) const {
+    return this->KnownEra ? std::max<Duration>(this->EraSeenAt + LeaseEnd - Now,
+                                               Duration::zero())
+                          : LeaseEnd;
   }
 
   /// Whether an earlier era was observed.
