--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -27,6 +27,7 @@
 constexpr std::uint16_t StorePort = 7000;
 constexpr char StartedLine[] = "daemon event=started";
 constexpr auto RequestTimeout = std::chrono::seconds(10);
+constexpr auto StoreOutage = std::chrono::milliseconds(500);
 constexpr auto PollInterval = std::chrono::milliseconds(20);
 
 std::string routeText(const std::string &Name, const std::string &Service,
@@ -169,6 +170,19 @@
           ",", R"("header_timeout":"3000ms","idle_timeout":"15000ms"}}]})"));
 }
 
+void PlatformMesh::restoreStore(const std::function<void()> &Lost,
+                                const std::function<void()> &Rewritten) {
+  this->StandInStore->saveCopy();
+  Lost();
+  PlatformStoreFaults Away;
+  Away.RefusedCallers = {"*"};
+  this->StandInStore->setFaults(Away);
+  this->StandInStore->restoreCopy();
+  Rewritten();
+  std::this_thread::sleep_for(StoreOutage);
+  this->StandInStore->setFaults({});
+}
+
 void PlatformMesh::writeSettings(int Index) const {
   std::string Host = this->hostOf(Index);
   std::ofstream File(this->path(absl::StrCat("d", Index, ".yaml")));
--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -115,6 +115,12 @@
   /// Keys are granted by calls; to be called before the start.
   void setGrantsByCall() { this->GrantsByCall = true; }
 
+  /// Takes a copy of the store, runs \p Lost, and lets the store come back from
+  /// the copy after a short outage, in which \p Rewritten writes what others
+  /// than the daemons write again.
+  void restoreStore(const std::function<void()> &Lost,
+                    const std::function<void()> &Rewritten);
+
   FakePlatformStore &store() { return *this->StandInStore; }
   FakePlatformServer &server(int Index) {
     return *this->Servers[static_cast<std::size_t>(Index)];
--- a/tests/mesh/configuration/ConfigurationMeshTest.cpp
+++ b/tests/mesh/configuration/ConfigurationMeshTest.cpp
@@ -80,10 +80,8 @@
   }
 }
 
-/// Lets the store come back from a copy, after a short outage. \p Rewrite
-/// writes what operators write again; so many versions follow that those of
-/// before the outage have been given out again when the daemons reach the
-/// store.
+/// Lets the store come back from a copy. So many versions follow that those of
+/// before the outage have been given out again when the daemons reach it.
 void restoreStore(PlatformMesh &Mesh, const std::function<void()> &Rewrite) {
   constexpr int LostVersions = 60;
   auto WriteOtherRows = [&](int Count) {
@@ -91,18 +89,15 @@
       Mesh.store().put("other", "row" + std::to_string(Row), "");
     }
   };
-  Mesh.store().saveCopy();
-  WriteOtherRows(LostVersions);
-  std::this_thread::sleep_for(ConfigurationTime);
-
-  PlatformStoreFaults Away;
-  Away.RefusedCallers = {"*"};
-  Mesh.store().setFaults(Away);
-  Mesh.store().restoreCopy();
-  Rewrite();
-  WriteOtherRows(2 * LostVersions);
-  std::this_thread::sleep_for(milliseconds(500));
-  Mesh.store().setFaults({});
+  Mesh.restoreStore(
+      [&] {
+        WriteOtherRows(LostVersions);
+        std::this_thread::sleep_for(ConfigurationTime);
+      },
+      [&] {
+        Rewrite();
+        WriteOtherRows(2 * LostVersions);
+      });
   std::this_thread::sleep_for(ContactTime);
 }
 
