soak: the store comes back from a copy

A copy is taken when the fault begins; when it ends the store goes back to it at once, and the operator publishes its newest configuration again.

--- a/tests/soak/SoakPlan.cpp
+++ b/tests/soak/SoakPlan.cpp
@@ -13,12 +13,13 @@
 using std::chrono::milliseconds;
 
 constexpr std::array<const char *, SoakFaultCount> FaultNames = {
-    "daemon_killed",        "daemon_paused",       "daemon_stopped",
-    "daemon_reloaded",      "link_delayed",        "link_reset",
-    "link_cut_one_way",     "link_silent",         "store_refuses",
-    "store_silent",         "store_loses_answers", "store_forgets",
-    "server_loses_answers", "server_refuses",      "server_wrong_ids",
-    "server_mute",          "server_restarts",     "configuration_changes"};
+    "daemon_killed",        "daemon_paused",        "daemon_stopped",
+    "daemon_reloaded",      "link_delayed",         "link_reset",
+    "link_cut_one_way",     "link_silent",          "store_refuses",
+    "store_silent",         "store_loses_answers",  "store_forgets",
+    "store_restored",       "server_loses_answers", "server_refuses",
+    "server_wrong_ids",     "server_mute",          "server_restarts",
+    "configuration_changes"};
 
 /// Mean time between the starts of two successive faults.
 constexpr auto MeanFaultInterval = milliseconds(350);
--- a/tests/soak/SoakPlan.h
+++ b/tests/soak/SoakPlan.h
@@ -36,6 +36,9 @@
   StoreLosesAnswers,
   /// The store drops its change history.
   StoreForgets,
+  /// The store comes back from a copy taken when the fault began; the operator
+  /// publishes the newest configuration again.
+  StoreRestored,
   /// A backend server executes requests, but closes the connection without a
   /// valid answer.
   ServerLosesAnswers,
@@ -51,7 +54,7 @@
   ConfigurationChanges,
 };
 
-inline constexpr int SoakFaultCount = 18;
+inline constexpr int SoakFaultCount = 19;
 
 /// Name of \p Fault in reports.
 const char *nameOf(SoakFault Fault);
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -155,6 +155,9 @@
   case SoakFault::StoreForgets:
     this->Mesh.store().dropHistory();
     break;
+  case SoakFault::StoreRestored:
+    this->Mesh.store().saveCopy();
+    break;
   case SoakFault::ServerLosesAnswers:
   case SoakFault::ServerRefuses:
   case SoakFault::ServerWrongIds:
@@ -167,8 +170,7 @@
     break;
   case SoakFault::ConfigurationChanges:
     this->ConfigurationVersion += 1 + this->ConfigurationVersion % 3;
-    this->Mesh.declare(this->ConfigurationVersion,
-                       absl::StrCat("extra", this->ConfigurationVersion));
+    this->declareNewest();
     break;
   }
 }
@@ -204,6 +206,10 @@
   case SoakFault::StoreLosesAnswers:
     this->setStoreFaults();
     break;
+  case SoakFault::StoreRestored:
+    this->Mesh.store().restoreCopy();
+    this->declareNewest();
+    break;
   case SoakFault::ServerLosesAnswers:
   case SoakFault::ServerRefuses:
   case SoakFault::ServerWrongIds:
@@ -218,6 +224,13 @@
   }
 }
 
+void SoakRun::declareNewest() {
+  bool First = this->ConfigurationVersion == 1;
+  this->Mesh.declare(this->ConfigurationVersion,
+                     First ? ""
+                           : absl::StrCat("extra", this->ConfigurationVersion));
+}
+
 void SoakRun::restartDaemon(int Daemon) {
   if (this->DownDaemons.erase(Daemon) == 0) {
     return;
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -61,6 +61,7 @@
   void endFault(const SoakEvent &Event);
   void recordDisturbance(int Daemon, Duration Length,
                          bool GracefulStop = false);
+  void declareNewest();
   void restartDaemon(int Daemon);
   void setStoreFaults();
   void setServerFaults(int Server);
