--- a/stand_ins/FakePlatformStore.cpp
+++ b/stand_ins/FakePlatformStore.cpp
@@ -104,12 +104,18 @@
   return this->CallCounts;
 }
 
+std::uint64_t FakePlatformStore::sentBytes() {
+  std::lock_guard Lock(this->Mutex);
+  return this->SentBytes;
+}
+
 HttpResponse FakePlatformStore::serve(const std::string &Caller,
                                       HttpRequest &Request,
                                       const asio::yield_context &Yield) {
   HttpResponse Response = this->serveCall(Caller, Request, Yield);
+  std::lock_guard Lock(this->Mutex);
+  this->SentBytes += Response.body().size();
   if (Response.find(EraHeader) == Response.end()) {
-    std::lock_guard Lock(this->Mutex);
     Response.set(EraHeader, std::to_string(this->Era));
   }
   return Response;
--- a/stand_ins/FakePlatformStore.h
+++ b/stand_ins/FakePlatformStore.h
@@ -65,6 +65,9 @@
   /// Number of calls by the last segment of their path.
   std::map<std::string, int> callCounts();
 
+  /// Bytes of all response bodies.
+  std::uint64_t sentBytes();
+
 private:
   struct Row {
     std::string Table;
@@ -100,6 +103,7 @@
   std::uint64_t HistoryStart = 0;
   PlatformStoreFaults Faults;
   std::map<std::string, int> CallCounts;
+  std::uint64_t SentBytes = 0;
 };
 
 } // namespace hemlockspar
--- a/stand_ins/FaultProxy.cpp
+++ b/stand_ins/FaultProxy.cpp
@@ -114,6 +114,9 @@
       Timer.expires_after(std::chrono::milliseconds(Faults.DelayMs));
       Timer.async_wait(Yield[Error]);
     }
+    if (!Outbound && Faults.InboundRate > 0) {
+      this->awaitLink(Connection->From, Count, Faults.InboundRate, Yield);
+    }
     asio::async_write(Sink, asio::buffer(Buffer.data(), Count), Yield[Error]);
     if (!Outbound && Faults.MaxInboundBytes > 0) {
       InboundBytes += Count;
@@ -127,6 +130,18 @@
   this->OpenConnections.erase(Connection);
 }
 
+void FaultProxy::awaitLink(const std::string &From, std::size_t Bytes,
+                           std::uint64_t Rate,
+                           const asio::yield_context &Yield) {
+  TimePoint &Free = this->FreeAt[From];
+  Free = std::max(Free, BootClock::now()) +
+         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+             static_cast<double>(Bytes) / static_cast<double>(Rate)));
+  asio::steady_timer Timer(this->Io, Free - BootClock::now());
+  error_code Ignored;
+  Timer.async_wait(Yield[Ignored]);
+}
+
 LinkFaults FaultProxy::faultsFor(const std::string &From,
                                  const std::string &To) const {
   LinkFaults Combined;
@@ -143,6 +158,7 @@
     Combined.DelayMs += Faults.DelayMs;
     Combined.MaxInboundBytes =
         std::max(Combined.MaxInboundBytes, Faults.MaxInboundBytes);
+    Combined.InboundRate = std::max(Combined.InboundRate, Faults.InboundRate);
   }
   return Combined;
 }
@@ -162,6 +178,7 @@
   Faults.StallOpen = readFlag(*Fields, "stall_open");
   Faults.DelayMs = getUnsigned(*Fields, "delay_ms");
   Faults.MaxInboundBytes = getUnsigned(*Fields, "max_back_bytes");
+  Faults.InboundRate = getUnsigned(*Fields, "back_rate");
 
   this->applyToOpenConnections();
   Faults.StallOpen = false;
--- a/stand_ins/FaultProxy.h
+++ b/stand_ins/FaultProxy.h
@@ -29,12 +29,16 @@
   /// Closes a connection when it has carried this many bytes inbound since the
   /// fault was set; 0 for no bound.
   std::uint64_t MaxInboundBytes = 0;
+
+  /// Rate of inbound data in bytes per second, shared by all connections that
+  /// the same address has opened; 0 for no limit.
+  std::uint64_t InboundRate = 0;
 };
 
 /// TCP proxy that delays, discards or cuts traffic by its source and
 /// destination IP address. Faults are set over HTTP at run time: PUT /links
 /// {"from", "to", "cut_out", "cut_back", "reset", "stall_open", "delay_ms",
-/// "max_back_bytes"}; an empty from or to matches every address.
+/// "max_back_bytes", "back_rate"}; an empty from or to matches every address.
 class FaultProxy {
 public:
   explicit FaultProxy(boost::asio::io_context &Io);
@@ -53,6 +57,8 @@
                        const boost::asio::yield_context &Yield);
   void relay(const std::shared_ptr<ProxiedConnection> &Connection,
              bool Outbound, const boost::asio::yield_context &Yield);
+  void awaitLink(const std::string &From, std::size_t Bytes, std::uint64_t Rate,
+                 const boost::asio::yield_context &Yield);
   LinkFaults faultsFor(const std::string &From, const std::string &To) const;
   HttpResponse setFaults(const HttpRequest &Request);
   void applyToOpenConnections();
@@ -62,6 +68,9 @@
   std::list<Acceptor> Listeners;
   std::map<std::pair<std::string, std::string>, LinkFaults> Links;
   std::set<std::shared_ptr<ProxiedConnection>> OpenConnections;
+
+  /// When the link of an address with a limited rate is free again.
+  std::map<std::string, TimePoint> FreeAt;
 };
 
 } // namespace hemlockspar
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -131,6 +131,7 @@
   Fields["stall_open"] = Faults.StallOpen;
   Fields["delay_ms"] = Json::UInt64(Faults.DelayMs);
   Fields["max_back_bytes"] = Json::UInt64(Faults.MaxInboundBytes);
+  Fields["back_rate"] = Json::UInt64(Faults.InboundRate);
   HttpRequest Request(http::verb::put, "/links", 11);
   Request.set(http::field::host, "proxy");
   Request.body() = writeJson(Fields);
@@ -159,6 +160,10 @@
   if (!Extra.empty()) {
     Routes += "," + Declare(Extra, "bookings", "idempotent");
   }
+  for (int Index = 0; Index < this->FurtherRoutes; ++Index) {
+    Routes +=
+        "," + Declare(absl::StrCat("further", Index), "bookings", "idempotent");
+  }
   this->StandInStore->put(
       "op", "config",
       absl::StrCat(
--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -58,6 +58,9 @@
   /// on.
   void setMaxBodyBytes(std::uint64_t Bytes) { this->MaxBodyBytes = Bytes; }
 
+  /// Adds \p Count further routes to configurations declared from now on.
+  void setFurtherRoutes(int Count) { this->FurtherRoutes = Count; }
+
   /// Adds the line \p Setting to the settings of daemons started from now on.
   void addSetting(const std::string &Setting) {
     this->MoreSettings += Setting + "\n";
@@ -164,6 +167,7 @@
   bool GrantsByCall = false;
   double LinkMbps = 0;
   std::uint64_t MaxBodyBytes = 1000000;
+  int FurtherRoutes = 0;
   double ColdRequestsPerSecond = 0;
   std::string MoreSettings;
 
--- a/tests/mesh/configuration/ConfigurationMeshTest.cpp
+++ b/tests/mesh/configuration/ConfigurationMeshTest.cpp
@@ -192,3 +192,38 @@
   }
   cr_expect_eq(Mesh.server(3).executedRequests().size(), Before);
 }
+
+/// A large configuration takes most of a second on a slow link. What daemons do
+/// when it does not arrive at once must not fill the link with further copies.
+Test(ConfigurationMesh, LargeConfigurationIsFetchedManyTimes) {
+  PlatformMesh Mesh(146, FourDaemons, true);
+  cr_assert(Mesh.start());
+  LinkFaults Slow;
+  Slow.InboundRate = 1000000;
+  for (int From = 0; From < Mesh.count(); ++From) {
+    for (int To = TheStore; To < Mesh.count(); ++To) {
+      if (From != To) {
+        Mesh.setLink(From, To, Slow);
+      }
+    }
+  }
+
+  Mesh.setFurtherRoutes(1600);
+  for (std::uint64_t Version = 2; Version <= 4; ++Version) {
+    std::string Route = "route" + std::to_string(Version);
+    Mesh.declare(Version, Route);
+    TimePoint Due = BootClock::now() + ConfigurationTime;
+    for (int Sent = 0; BootClock::now() < Due; ++Sent) {
+      Mesh.send(Sent % Mesh.count(), "/lists/1", {{"Deadline-Ms", "400"}});
+    }
+    for (int Index = 0; Index < Mesh.count(); ++Index) {
+      unsigned Status = statusOf(Mesh.send(Index, "/" + Route + "/1"));
+      cr_expect_eq(Status, 200, "version %d, daemon %d: %u", int(Version),
+                   Index, Status);
+    }
+  }
+  std::size_t Size = Mesh.store().find("op", "config")->size() * 4 / 3;
+  double Copies = static_cast<double>(Mesh.store().sentBytes()) /
+                  static_cast<double>(Size * 3 * FourDaemons.size());
+  cr_expect_lt(Copies, 2, "%f copies for each version and daemon", Copies);
+}
