mesh: responses that arrive are neither hedged nor fetched again

A configuration of 1,763 routes takes most of a second at 10 Mbit/s. A daemon that heard of it from another one read the whole table 150 ms later, beside the wait that was receiving it; the read was sent over up to five paths, since a hedge looked at complete responses only; a connection that could not be opened on the full link let the store count as lost, which cancelled the transfers under way, and all began anew.

The client of HTTP reports the parts of a large response. While one arrives no further attempt begins and the others are cancelled, the store does not count as lost, a wait is not cancelled, and the deadline is extended (10 s at most, 1 s without a part). A newer version elsewhere begins a check after 1 s, in place of a read of the table after 150 ms.

HttpClientFault.ArrivingResponse... and StoreSync.NewerVersionElsewhere... are new; that they fail on the code before follows from reading, it was not run.

--- a/mesh/FailoverStoreTransport.cpp
+++ b/mesh/FailoverStoreTransport.cpp
@@ -26,6 +26,9 @@
 /// Maximum number of peers tried per call.
 constexpr std::size_t MaxPeersPerCall = 2;
 
+/// A response is arriving when a part of it was received within this time.
+constexpr auto ReceiveTimeout = std::chrono::milliseconds(1000);
+
 /// Added to the timeout of a relayed call for the round trip to the peer.
 constexpr auto RelaySlack = std::chrono::milliseconds(300);
 
@@ -59,6 +62,22 @@
 
 } // namespace
 
+/// One attempt of a call on one path.
+struct FailoverStoreTransport::Attempt {
+  /// Ends the attempt, if it is still in progress.
+  void cancel() {
+    this->Watch.Disconnected = true;
+    if (this->Watch.OnCancel) {
+      this->Watch.OnCancel();
+    }
+  }
+
+  CallerWatch Watch;
+
+  /// If set, called for each part of a large response that is received.
+  std::function<void()> OnReceived;
+};
+
 /// A hedged call, shared by its attempts; those that outlast it end on their
 /// own.
 struct FailoverStoreTransport::HedgedCall {
@@ -66,12 +85,32 @@
              TimePoint Deadline)
       : Request(Request), Deadline(Deadline), Progress(Io) {}
 
+  /// A part of a large response was received by \p Receiver. The other attempts
+  /// would only compete with it for the link.
+  void onReceived(const Attempt *Receiver) {
+    this->ReceivedAt = BootClock::now();
+    for (Attempt *Other : std::set(this->Attempts)) {
+      if (Other != Receiver) {
+        Other->cancel();
+      }
+    }
+  }
+
+  /// A response that is arriving may take longer.
+  TimePoint end() const {
+    return std::max<TimePoint>(this->Deadline,
+                               this->ReceivedAt + ReceiveTimeout);
+  }
+
   HttpRequest Request;
   TimePoint Deadline;
+  TimePoint ReceivedAt;
+
+  /// In progress.
+  std::set<Attempt *> Attempts;
 
   /// Instances that have not been asked.
   std::deque<Address> Peers;
-  std::size_t Running = 0;
   bool DirectRunning = false;
   bool Served = false;
 
@@ -106,6 +145,9 @@
 
 void FailoverStoreTransport::recordDirectResult(bool Responds,
                                                 const std::string &Reason) {
+  if (!Responds && this->isReceiving()) {
+    return;
+  }
   if (!Responds) {
     this->DirectRetryAt = BootClock::now() + DirectRetryInterval;
   }
@@ -118,34 +160,56 @@
   }
 }
 
+bool FailoverStoreTransport::isReceiving() const {
+  TimePoint Since = BootClock::now() - ReceiveTimeout;
+  return std::any_of(
+      this->PendingReads.begin(), this->PendingReads.end(),
+      [&](const auto &Pending) { return Pending.second > Since; });
+}
+
 void FailoverStoreTransport::cancelPendingReads() {
   // A wait for changes that was in progress during an outage may receive no
   // notifications until it ends. Cancel it; the caller issues a new one.
-  std::set<CallerWatch *> Cancelled;
-  Cancelled.swap(this->PendingReads);
-  for (CallerWatch *Watch : Cancelled) {
-    if (Watch->OnCancel) {
-      Watch->OnCancel();
+  TimePoint Since = BootClock::now() - ReceiveTimeout;
+  std::vector<Attempt *> Cancelled;
+  for (const auto &[Read, ReceivedAt] : this->PendingReads) {
+    if (ReceivedAt <= Since) {
+      Cancelled.push_back(Read);
     }
   }
+  for (Attempt *Read : Cancelled) {
+    Read->cancel();
+  }
 }
 
 FailoverStoreTransport::DirectResult
 FailoverStoreTransport::exchangeDirectly(HttpRequest &Request, Duration Timeout,
+                                         Attempt &Running,
                                          const asio::yield_context &Yield) {
   LogLine(LogLevel::Debug, "store", "call")
       .with("method", std::string(Request.method_string()))
       .with("target", std::string(Request.target()));
 
-  CallerWatch Watch;
-  if (isReadOnly(Request)) {
-    this->PendingReads.insert(&Watch);
+  bool ReadOnly = isReadOnly(Request);
+  if (ReadOnly) {
+    this->PendingReads[&Running] = TimePoint();
   }
-  ExchangeResult Result = this->StoreClient.exchange(
-      this->StoreAddress, Request,
-      {.Deadline = BootClock::now() + Timeout, .Watch = &Watch}, Yield);
-  bool Cancelled = isReadOnly(Request) && this->PendingReads.erase(&Watch) == 0;
-  if (Cancelled && !isServed(Result)) {
+  ExchangeOptions Options;
+  Options.Deadline = BootClock::now() + Timeout;
+  Options.Watch = &Running.Watch;
+  Options.ReceiveTimeout = ReadOnly ? ReceiveTimeout : Duration::zero();
+  Options.OnReceived = [this, &Running, ReadOnly] {
+    if (ReadOnly) {
+      this->PendingReads[&Running] = BootClock::now();
+    }
+    if (Running.OnReceived) {
+      Running.OnReceived();
+    }
+  };
+  ExchangeResult Result =
+      this->StoreClient.exchange(this->StoreAddress, Request, Options, Yield);
+  this->PendingReads.erase(&Running);
+  if (Running.Watch.Disconnected && !isServed(Result)) {
     return {std::move(Result), true};
   }
   if (Result.Outcome == ExchangeOutcome::Ambiguous) {
@@ -173,9 +237,11 @@
   if (!this->StoreReachable) {
     this->DirectRetryAt = BootClock::now() + DirectRetryInterval;
   }
-  DirectResult Direct = this->exchangeDirectly(Request, Timeout, Yield);
+  Attempt First;
+  DirectResult Direct = this->exchangeDirectly(Request, Timeout, First, Yield);
   if (Direct.Cancelled && this->StoreReachable) {
-    Direct = this->exchangeDirectly(Request, Timeout, Yield);
+    Attempt Second;
+    Direct = this->exchangeDirectly(Request, Timeout, Second, Yield);
   }
 
   // A write that may have been executed is not sent again.
@@ -190,13 +256,18 @@
 
 ExchangeResult FailoverStoreTransport::exchangeWithPeer(
     const Address &Peer, const HttpRequest &Request, Duration Timeout,
-    const asio::yield_context &Yield) {
+    Attempt &Running, const asio::yield_context &Yield) {
   HttpRequest Call = Request;
   Call.set(relay::Call, std::to_string(toMilliseconds(Timeout)));
 
   TimePoint SentAt = BootClock::now();
-  ExchangeResult Result = this->PeerClient.exchange(
-      Peer, Call, {.Deadline = SentAt + Timeout + RelaySlack}, Yield);
+  ExchangeOptions Options;
+  Options.Deadline = SentAt + Timeout + RelaySlack;
+  Options.Watch = &Running.Watch;
+  Options.ReceiveTimeout =
+      isReadOnly(Request) ? ReceiveTimeout : Duration::zero();
+  Options.OnReceived = Running.OnReceived;
+  ExchangeResult Result = this->PeerClient.exchange(Peer, Call, Options, Yield);
   std::string RelayOutcome = headerValue(Result.Response, relay::Result);
   bool Relayed = Result.Outcome == ExchangeOutcome::Answered &&
                  RelayOutcome == nameOf(ExchangeOutcome::Answered);
@@ -204,6 +275,9 @@
     this->Relays.onRelayed(Peer);
     return Result;
   }
+  if (Running.Watch.Disconnected) {
+    return Result;
+  }
 
   LogLine(LogLevel::Info, "store", "relay_failed")
       .with("peer", Peer.toText())
@@ -235,8 +309,9 @@
       this->Relays.order(this->Peers(), BootClock::now());
   Candidates.resize(std::min(Candidates.size(), MaxPeersPerCall));
   for (const Address &Peer : Candidates) {
+    Attempt Relayed;
     ExchangeResult Result =
-        this->exchangeWithPeer(Peer, Request, Timeout, Yield);
+        this->exchangeWithPeer(Peer, Request, Timeout, Relayed, Yield);
     bool MayHaveRun =
         Result.Outcome == ExchangeOutcome::Ambiguous && !isReadOnly(Request);
     if (isServed(Result) || MayHaveRun) {
@@ -270,20 +345,25 @@
   Call->Peers.assign(Candidates.begin(), Candidates.end());
   HedgeSchedule Schedule(this->directPath(), Call->Peers.size());
 
-  while (!Call->Served && BootClock::now() < Deadline) {
-    for (StorePath Path : Schedule.next(Call->DirectRunning)) {
-      this->beginAttempt(Call, Path);
+  while (!Call->Served && BootClock::now() < Call->end()) {
+    Duration Delay = this->Hedging.current();
+    if (BootClock::now() >= Call->ReceivedAt + Delay) {
+      for (StorePath Path : Schedule.next(Call->DirectRunning)) {
+        this->beginAttempt(Call, Path);
+      }
     }
-    TimePoint Until =
-        Schedule.hasMore()
-            ? std::min(BootClock::now() + this->Hedging.current(), Deadline)
-            : Deadline;
-    while (!Call->Served && Call->Running > 0 && BootClock::now() < Until) {
+    TimePoint BegunAt = BootClock::now();
+    auto Until = [&] {
+      TimePoint Next = std::max(BegunAt, Call->ReceivedAt) + Delay;
+      return Schedule.hasMore() ? std::min(Next, Call->end()) : Call->end();
+    };
+    while (!Call->Served && !Call->Attempts.empty() &&
+           BootClock::now() < Until()) {
       boost::system::error_code Ignored;
-      Call->Progress.expires_after(Until - BootClock::now());
+      Call->Progress.expires_after(Until() - BootClock::now());
       Call->Progress.async_wait(Yield[Ignored]);
     }
-    if (Call->Running == 0 && !Schedule.hasMore()) {
+    if (Call->Attempts.empty() && !Schedule.hasMore()) {
       break;
     }
   }
@@ -299,41 +379,51 @@
   } else {
     Call->DirectRunning = true;
   }
-  ++Call->Running;
+  auto Running = std::make_shared<Attempt>();
+  Running->OnReceived = [Raw = Call.get(), Receiver = Running.get()] {
+    Raw->onReceived(Receiver);
+  };
+  Call->Attempts.insert(Running.get());
 
   asio::spawn(
       this->Io,
-      [this, Call, Path, Peer](const asio::yield_context &Yield) {
-        HttpRequest Request = Call->Request;
-        Duration Left = std::max<Duration>(Call->Deadline - BootClock::now(),
-                                           std::chrono::milliseconds(1));
-        if (Path == StorePath::Relay) {
-          this->onAttemptEnded(
-              *Call, this->exchangeWithPeer(Peer, Request, Left, Yield));
-          return;
-        }
-        bool Reconnecting = Path == StorePath::DirectOnNewConnection;
-        if (Reconnecting) {
-          this->StoreClient.closeIdle(this->StoreAddress);
-        }
-        TimePoint SentAt = BootClock::now();
-        DirectResult Direct = this->exchangeDirectly(Request, Left, Yield);
-        Call->DirectRunning = false;
-        if (isServed(Direct.Exchange)) {
-          this->Hedging.recordAnswer(BootClock::now() - SentAt);
-        }
-        if (Reconnecting && isServed(Direct.Exchange) && !Call->Served) {
-          // The connections that were open before are silent.
-          this->cancelPendingReads();
-        }
-        this->onAttemptEnded(*Call, std::move(Direct.Exchange));
+      [this, Call, Path, Peer, Running](const asio::yield_context &Yield) {
+        this->runAttempt(*Call, Path, Peer, *Running, Yield);
       },
       asio::detached);
 }
 
+void FailoverStoreTransport::runAttempt(HedgedCall &Call, StorePath Path,
+                                        const Address &Peer, Attempt &Running,
+                                        const asio::yield_context &Yield) {
+  HttpRequest Request = Call.Request;
+  Duration Left = std::max<Duration>(Call.Deadline - BootClock::now(),
+                                     std::chrono::milliseconds(1));
+  ExchangeResult Result;
+  if (Path == StorePath::Relay) {
+    Result = this->exchangeWithPeer(Peer, Request, Left, Running, Yield);
+  } else {
+    bool Reconnecting = Path == StorePath::DirectOnNewConnection;
+    if (Reconnecting) {
+      this->StoreClient.closeIdle(this->StoreAddress);
+    }
+    TimePoint SentAt = BootClock::now();
+    Result = this->exchangeDirectly(Request, Left, Running, Yield).Exchange;
+    Call.DirectRunning = false;
+    if (isServed(Result)) {
+      this->Hedging.recordAnswer(BootClock::now() - SentAt);
+    }
+    if (Reconnecting && isServed(Result) && !Call.Served) {
+      // The connections that were open before are silent.
+      this->cancelPendingReads();
+    }
+  }
+  Call.Attempts.erase(&Running);
+  this->onAttemptEnded(Call, std::move(Result));
+}
+
 void FailoverStoreTransport::onAttemptEnded(HedgedCall &Call,
                                             ExchangeResult Result) {
-  --Call.Running;
   if (!Call.Served) {
     Call.Served = isServed(Result);
     Call.Result = std::move(Result);
@@ -352,9 +442,11 @@
 
   ExchangeResult Result;
   if (this->StoreReachable && Allowed) {
-    Result = this->exchangeDirectly(Request,
-                                    std::chrono::milliseconds(*Allowed), Yield)
-                 .Exchange;
+    Attempt Running;
+    Result =
+        this->exchangeDirectly(Request, std::chrono::milliseconds(*Allowed),
+                               Running, Yield)
+            .Exchange;
   }
 
   HttpResponse Response = Result.Outcome == ExchangeOutcome::Answered
--- a/mesh/FailoverStoreTransport.h
+++ b/mesh/FailoverStoreTransport.h
@@ -37,23 +37,31 @@
   static bool isRelayCall(const HttpRequest &Request);
 
 private:
+  struct Attempt;
   struct HedgedCall;
   struct DirectResult;
 
   bool mayCallDirectly() const;
   DirectPath directPath();
   DirectResult exchangeDirectly(HttpRequest &Request, Duration Timeout,
+                                Attempt &Running,
                                 const boost::asio::yield_context &Yield);
   ExchangeResult exchangeWithPeer(const Address &Peer,
                                   const HttpRequest &Request, Duration Timeout,
+                                  Attempt &Running,
                                   const boost::asio::yield_context &Yield);
   void beginAttempt(const std::shared_ptr<HedgedCall> &Call, StorePath Path);
+  void runAttempt(HedgedCall &Call, StorePath Path, const Address &Peer,
+                  Attempt &Running, const boost::asio::yield_context &Yield);
   void onAttemptEnded(HedgedCall &Call, ExchangeResult Result);
   ExchangeResult exchangeThroughPeers(HttpRequest &Request, Duration Timeout,
                                       const boost::asio::yield_context &Yield);
   void recordDirectResult(bool Responds, const std::string &Reason);
   void cancelPendingReads();
 
+  /// Whether the response to a direct call is arriving.
+  bool isReceiving() const;
+
   boost::asio::io_context &Io;
   Address StoreAddress;
   std::function<std::vector<RelayCandidate>()> Peers;
@@ -62,8 +70,9 @@
   HttpClient StoreClient;
   HttpClient PeerClient;
 
-  /// Read-only calls to the store that are in progress.
-  std::set<CallerWatch *> PendingReads;
+  /// Read-only calls to the store that are in progress, and when a part of a
+  /// large response was last received.
+  std::map<Attempt *, TimePoint> PendingReads;
   bool StoreReachable = true;
   TimePoint DirectRetryAt;
 };
--- a/mesh/StoreSync.cpp
+++ b/mesh/StoreSync.cpp
@@ -25,8 +25,9 @@
 constexpr auto SlowCheck = std::chrono::milliseconds(500);
 
 /// A configuration that is active at other instances must arrive within this
-/// time; otherwise the table is read.
-constexpr auto CatchUpDelay = std::chrono::milliseconds(150);
+/// time; otherwise the store is asked for it. A large one takes most of it on a
+/// slow link.
+constexpr auto CatchUpDelay = std::chrono::milliseconds(1000);
 
 /// Requests do not depend on this wait, since an instance that no longer owns a
 /// key names the new owner; each response of the store is billed as a call.
@@ -281,12 +282,16 @@
     this->restart(Feed);
     return;
   }
-  if (Feed.Paused || this->CheckPending || !Freshness.isCheckDue(Now, Early)) {
-    return;
+  if (!Feed.Paused && !this->CheckPending && Freshness.isCheckDue(Now, Early)) {
+    this->beginCheck(Now);
   }
+}
 
+void StoreSync::beginCheck(TimePoint Now) {
+  TableFeed &Feed = this->ConfigurationFeed;
+  std::uniform_real_distribution<double> Draw(0, 1);
   this->CheckPending = true;
-  Freshness.onCheckBegun(Now, Draw(this->Random));
+  this->View.operatorFreshness().onCheckBegun(Now, Draw(this->Random));
   RowVersion After =
       this->Operators.unreadableRow()
           ? std::min(Feed.Version, *this->Operators.unreadableRow() - 1)
@@ -409,28 +414,15 @@
   this->CatchUpTimer.expires_after(CatchUpDelay);
   this->CatchUpTimer.async_wait([this](const boost::system::error_code &Error) {
     this->CatchingUp = false;
-    if (!Error && this->isConfigurationStale()) {
-      this->readConfiguration();
+    bool MayAsk = !this->ConfigurationFeed.Paused && !this->CheckPending;
+    if (!Error && MayAsk && this->isConfigurationStale()) {
+      LogLine(LogLevel::Info, "store", "configuration_missed")
+          .with("seen", static_cast<long long>(this->NewestPeerVersion));
+      this->beginCheck(BootClock::now());
     }
   });
 }
 
-void StoreSync::readConfiguration() {
-  LogLine(LogLevel::Info, "store", "configuration_missed")
-      .with("seen", static_cast<long long>(this->NewestPeerVersion));
-  this->CatchingUp = true;
-  TimePoint SentAt = BootClock::now();
-  this->StoreClient.readTable(
-      tables::Operator, [this, SentAt](const std::optional<StoreRows> &Read) {
-        this->CatchingUp = false;
-        if (Read) {
-          this->applyRows(this->ConfigurationFeed, *Read);
-          this->onOperatorTableRead(*Read, SentAt);
-          this->onStoreVersion(Read->Version, nullptr);
-        }
-      });
-}
-
 void StoreSync::readInstances(const std::function<void(bool Done)> &OnDone) {
   this->StoreClient.readTable(
       tables::Instances, [this, OnDone](const std::optional<StoreRows> &Read) {
--- a/mesh/StoreSync.h
+++ b/mesh/StoreSync.h
@@ -45,8 +45,8 @@
   void checkOperatorRows(TimePoint Now);
 
   /// Another instance has activated configuration \p Version. Unless it arrives
-  /// here shortly, the pending wait for changes is assumed dead and the table
-  /// is read.
+  /// here shortly, the pending wait for changes is assumed dead and the store
+  /// is asked for changes.
   void onPeerConfiguration(std::uint64_t Version);
 
 private:
@@ -97,6 +97,7 @@
   /// for \p Wait.
   void onOperatorRows(const StoreRows &Rows, TimePoint FollowedAt,
                       Duration Wait);
+  void beginCheck(TimePoint Now);
   void onCheckResult(const FollowResult &Result, TimePoint SentAt);
   void logSlowCheck(const FollowResult &Result, TimePoint SentAt) const;
   void applyRows(TableFeed &Feed, const StoreRows &Rows);
@@ -105,7 +106,6 @@
   Duration retryDelay(unsigned Failures);
   bool isRegionReader() const;
   bool isConfigurationStale() const;
-  void readConfiguration();
   void writeOwnRow();
   void onOwnRowWritten(const InstanceRow &Written, const StoreCommit &Commit);
 
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -31,6 +31,9 @@
 /// A response body up to this size is received whatever the others occupy.
 constexpr std::uint64_t SmallBodyBytes = 64 << 10;
 
+/// The receipt of a response body is reported once it exceeds this size.
+constexpr std::uint64_t ReportedBodyBytes = 16 << 10;
+
 /// Progress of sending a request.
 struct SendState {
   explicit SendState(asio::io_context &Io) : Done(Io) {}
@@ -233,6 +236,7 @@
 }
 
 error_code HttpClient::readWhole(Connection &Conn, ResponseParser &Parser,
+                                 const ExchangeOptions &Options,
                                  const asio::yield_context &Yield) {
   error_code Error;
   std::uint64_t Counted = 0;
@@ -243,6 +247,15 @@
 
   while (!Error && !Parser.is_done()) {
     Error = Reader.readSome(Parser, Yield);
+    if (!Error && Options.OnReceived &&
+        Parser.get().body().size() > ReportedBodyBytes) {
+      Options.OnReceived();
+    }
+    if (!Error && Options.ReceiveTimeout > Duration::zero()) {
+      Conn.Stream.expires_after(std::min(
+          std::max(remaining(Options.Deadline), Options.ReceiveTimeout),
+          remaining(Options.Deadline + ExchangeOptions::MaxReceiveTime)));
+    }
     if (!Held.isDroppable() && Parser.is_header_done()) {
       // Until the first byte a server computes; from then on it must send.
       Held.setDroppable([&Conn] { Conn.Stream.close(); }, BootClock::now());
@@ -289,7 +302,7 @@
       Parser.skip(true);
     }
 
-    error_code Error = this->readWhole(Conn, Parser, Yield);
+    error_code Error = this->readWhole(Conn, Parser, Options, Yield);
     if (Error) {
       return failedExchange(ExchangeOutcome::Ambiguous,
                             "receive: " + Error.message());
--- a/net/HttpClient.h
+++ b/net/HttpClient.h
@@ -36,7 +36,8 @@
 
 /// Options of one exchange.
 struct ExchangeOptions {
-  /// The complete response must be received by then.
+  /// The complete response must be received by then, or later as ReceiveTimeout
+  /// says.
   TimePoint Deadline;
 
   /// Nothing is sent from this time on, however long it took to get a
@@ -54,6 +55,15 @@
   /// With RequestIdOf: the id that the server repeats in its response. It may
   /// be empty and is then not looked for.
   std::string RequestId = {};
+
+  /// If not zero: a response that has begun may take longer than Deadline, by
+  /// up to MaxReceiveTime, while no two parts of it are further apart than
+  /// this.
+  Duration ReceiveTimeout = Duration::zero();
+  static constexpr Duration MaxReceiveTime = std::chrono::seconds(10);
+
+  /// If set, called for each part of a large response that is received.
+  std::function<void()> OnReceived = {};
 };
 
 struct ExchangeResult {
@@ -174,6 +184,7 @@
   static bool belongsTo(Connection &Conn, const HttpResponse &Response,
                         const ExchangeOptions &Options);
   boost::system::error_code readWhole(Connection &Conn, ResponseParser &Parser,
+                                      const ExchangeOptions &Options,
                                       const boost::asio::yield_context &Yield);
 
   boost::asio::io_context &Io;
--- a/tests/mesh/configuration/StoreSyncTest.cpp
+++ b/tests/mesh/configuration/StoreSyncTest.cpp
@@ -257,3 +257,18 @@
   Fixture.Remote.answerRead(inEra(2, 20));
   cr_assert_not(Fixture.View.isEvacuated("x"));
 }
+
+/// A version that others have may be on its way here, and large: the table is
+/// not read beside it.
+Test(StoreSync, NewerVersionElsewhereReadsTheWholeTable) {
+  SyncFixture Fixture;
+  Fixture.Remote.answerRead(10);
+  Fixture.Sync.onPeerConfiguration(5);
+  Fixture.Io.run_for(milliseconds(600));
+  cr_assert_eq(Fixture.Remote.Waits.size(), 1);
+
+  Fixture.Io.run_for(milliseconds(600));
+  cr_assert_eq(Fixture.Remote.Waits.size(), 2);
+  cr_assert(Fixture.Remote.Waits.back() == Duration::zero());
+  cr_assert_eq(Fixture.Remote.ReadCounts[tables::Operator], 1);
+}
--- a/tests/net/HttpClientFaultTest.cpp
+++ b/tests/net/HttpClientFaultTest.cpp
@@ -387,3 +387,47 @@
     cr_assert(BootClock::now() - StartedAt < seconds(3));
   });
 }
+
+/// A response that is arriving must not be given up at the deadline, but one
+/// that stops must.
+Test(HttpClientFault, ArrivingResponseIsGivenUpAtTheDeadline) {
+  constexpr std::size_t Parts = 10;
+  std::string Whole = answer("", std::string(80000, 'x'));
+  std::size_t PartsToSend = Parts;
+  FaultFixture *Server = nullptr;
+  FaultFixture Fixture([&](tcp::socket &Socket,
+                           const asio::yield_context &Yield) {
+    readHead(Socket, Yield);
+    error_code Error;
+    std::size_t Size = Whole.size() / Parts;
+    for (std::size_t Part = 0; Part < PartsToSend && !Error; ++Part) {
+      std::size_t Count = Part + 1 < Parts ? Size : Whole.size() - Part * Size;
+      asio::async_write(Socket, asio::buffer(Whole.data() + Part * Size, Count),
+                        Yield[Error]);
+      sleepFor(Server->Io, milliseconds(60), Yield);
+    }
+    sleepFor(Server->Io, seconds(2), Yield);
+  });
+  Server = &Fixture;
+
+  int Received = 0;
+  auto Exchange = [&](const asio::yield_context &Yield) {
+    HttpRequest Request(http::verb::get, "/", 11);
+    ExchangeOptions Options = {.Deadline =
+                                   BootClock::now() + milliseconds(200)};
+    Options.ReceiveTimeout = milliseconds(300);
+    Options.OnReceived = [&] { ++Received; };
+    tcp::endpoint At = Fixture.Listener.local_endpoint();
+    return Fixture.Client.exchange({"127.0.0.1", At.port()}, Request, Options,
+                                   Yield);
+  };
+  Fixture.run([&](const asio::yield_context &Yield) {
+    cr_assert_eq(Exchange(Yield).Outcome, ExchangeOutcome::Answered);
+    cr_assert_gt(Received, 0);
+
+    PartsToSend = 4;
+    TimePoint SentAt = BootClock::now();
+    cr_assert_eq(Exchange(Yield).Outcome, ExchangeOutcome::Ambiguous);
+    cr_assert_lt(BootClock::now() - SentAt, seconds(1));
+  });
+}
