mesh: a hedged call whose attempts have all broken off begins the next at once

When the only attempt failed while its response was arriving, the loop of the call began no further one and did not wait either, for up to 600 ms: the process stood still. Pulls of views between daemons may take longer while they arrive, like reads of the store.

--- a/mesh/FailoverStoreTransport.cpp
+++ b/mesh/FailoverStoreTransport.cpp
@@ -347,7 +347,8 @@
 
   while (!Call->Served && BootClock::now() < Call->end()) {
     Duration Delay = this->Hedging.current();
-    if (BootClock::now() >= Call->ReceivedAt + Delay) {
+    bool Receiving = BootClock::now() < Call->ReceivedAt + Delay;
+    if (!Receiving || Call->Attempts.empty()) {
       for (StorePath Path : Schedule.next(Call->DirectRunning)) {
         this->beginAttempt(Call, Path);
       }
--- a/mesh/PeerViewSync.cpp
+++ b/mesh/PeerViewSync.cpp
@@ -66,8 +66,11 @@
         HttpRequest Request = viewcodec::makePullRequest(
             {this->View.completeVersion(tables::Instances),
              this->View.completeVersion(tables::Keys)});
-        ExchangeResult Exchange = this->Client.exchange(
-            Peer, Request, {.Deadline = BootClock::now() + CallTimeout}, Yield);
+        ExchangeResult Exchange =
+            this->Client.exchange(Peer, Request,
+                                  {.Deadline = BootClock::now() + CallTimeout,
+                                   .ReceiveTimeout = CallTimeout},
+                                  Yield);
         this->PullPending = false;
         if (Exchange.Outcome == ExchangeOutcome::Answered) {
           this->applyRows(Exchange.Response.body());
--- a/tests/mesh/configuration/ConfigurationMeshTest.cpp
+++ b/tests/mesh/configuration/ConfigurationMeshTest.cpp
@@ -227,3 +227,21 @@
                   static_cast<double>(Size * 3 * FourDaemons.size());
   cr_expect_lt(Copies, 2, "%f copies for each version and daemon", Copies);
 }
+
+/// A response that breaks off while it arrives is fetched on another path.
+Test(ConfigurationMesh, BrokenOffResponsesDelayAConfiguration) {
+  PlatformMesh Mesh(147, FourDaemons, true);
+  cr_assert(Mesh.start());
+  LinkFaults BreaksOff;
+  BreaksOff.MaxInboundBytes = 100000;
+  Mesh.setLink(3, TheStore, BreaksOff);
+
+  Mesh.setFurtherRoutes(1600);
+  for (std::uint64_t Version = 2; Version <= 4; ++Version) {
+    std::string Route = "route" + std::to_string(Version);
+    Mesh.declare(Version, Route);
+    std::this_thread::sleep_for(ConfigurationTime);
+    unsigned Status = statusOf(Mesh.send(3, "/" + Route + "/1"));
+    cr_expect_eq(Status, 200, "version %d: %u", int(Version), Status);
+  }
+}
