--- a/review/harness-2/Fleet.cpp
+++ b/review/harness-2/Fleet.cpp
@@ -285,6 +285,8 @@
   if (Key) {
     Request.set("Shard-Key", std::to_string(*Key));
   }
+  // The system replaces what a consumer states here.
+  Request.set("Caller-Service", "a-consumer");
   if (Method == "POST") {
     Request.body() = "a booking";
   }
