--- a/review/harness-2/Backend.cpp
+++ b/review/harness-2/Backend.cpp
@@ -38,11 +38,17 @@
       Listener(this->Io), Client(this->Io, {}),
       Random(std::hash<std::string>()(this->Own.Id)), SeenFences(KeyCount) {}
 
-Backend::~Backend() {
+Backend::~Backend() { this->stop(); }
+
+void Backend::stop() {
   this->Io.stop();
   if (this->Thread.joinable()) {
     this->Thread.join();
   }
+  error_code Ignored;
+  this->Listener.close(Ignored);
+  std::lock_guard Lock(this->Mutex);
+  this->Held.clear();
 }
 
 bool Backend::start() {
--- a/review/harness-2/Backend.h
+++ b/review/harness-2/Backend.h
@@ -53,6 +53,9 @@
   Backend &operator=(const Backend &) = delete;
 
   bool start();
+
+  /// Ends it for good: its address refuses connections, and it reports no more.
+  void stop();
   bool holds(std::uint32_t Key) const;
   std::uint32_t heldKeys() const;
   int trailingSent() const { return this->Trailing; }
--- a/review/harness-2/Fleet.cpp
+++ b/review/harness-2/Fleet.cpp
@@ -274,6 +274,40 @@
   return Started;
 }
 
+bool Fleet::areAllReady() {
+  for (int Index = 0; Index < this->count(); ++Index) {
+    if (!this->isReady(Index)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void Fleet::restartDaemons(Milliseconds Down,
+                           const std::function<void()> &Meanwhile) {
+  for (pid_t Pid : this->Daemons) {
+    ::kill(Pid, SIGKILL);
+  }
+  for (pid_t Pid : this->Daemons) {
+    waitpid(Pid, nullptr, 0);
+  }
+  this->Daemons.clear();
+  this->Out.write("all daemons are killed");
+  Meanwhile();
+  std::this_thread::sleep_for(Down);
+  for (int Index = 0; Index < this->count(); ++Index) {
+    this->startDaemon(Index);
+  }
+  this->Out.write("all daemons are started again");
+}
+
+void Fleet::loseBackend(int Index) {
+  std::string Id = this->backend(Index).id();
+  this->backend(Index).stop();
+  this->Owners.update(Id, {});
+  this->Out.write(Id + " has crashed for good");
+}
+
 Answer Fleet::send(hemlockspar::BlockingClient &Caller, int Index,
                    const std::string &Method, const std::string &Path,
                    std::optional<std::uint32_t> Key) {
--- a/review/harness-2/Fleet.h
+++ b/review/harness-2/Fleet.h
@@ -57,6 +57,15 @@
   /// resets, or heals its links.
   void setCut(int Index, bool Cut);
 
+  /// Kills all daemons, and starts them again after \p Down.
+  void restartDaemons(Milliseconds Down,
+                      const std::function<void()> &Meanwhile);
+
+  /// Ends the backend server on machine \p Index for good.
+  void loseBackend(int Index);
+
+  bool areAllReady();
+
   hemlockspar::FakePlatformStore &store() { return *this->Store; }
   Backend &backend(int Index) { return *this->Backends.at(Index); }
   Backend::Runs &runs() { return this->Begun; }
