net: interim responses are dropped for every client

Callers of HttpClient that attribute responses by their order (other daemons, the store, health paths, hemlocksparctl) got a 1xx response as the response to their request. The response proper then stayed on the connection.

Cause: belongsTo() dropped interim responses only where responses have ids. Evidence: HttpClientFault.InterimResponseTakenForTheResponse failed before (the status was 100, not 200). readResponse() now drops them before it looks at ids, up to the bound that it had already.

--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -28,6 +28,9 @@
 constexpr std::array<const char *, 4> OutcomeNames = {"answered", "not_sent",
                                                       "too_late", "ambiguous"};
 
+/// Lower statuses are those of interim responses.
+constexpr unsigned MinFinalStatus = 200;
+
 /// A response body up to this size is received whatever the others occupy.
 constexpr std::uint64_t SmallBodyBytes = 64 << 10;
 
@@ -278,9 +281,6 @@
   if (!Options.RequestIdOf) {
     return true;
   }
-  if (Response.result_int() < 200) {
-    return false;
-  }
   std::string Id = Options.RequestIdOf(Response);
   if (Id.empty()) {
     // All earlier responses on this connection had ids, so this is no copy of
@@ -309,7 +309,8 @@
     }
 
     HttpResponse Response = Parser.release();
-    if (!belongsTo(Conn, Response, Options)) {
+    bool IsInterim = Response.result_int() < MinFinalStatus;
+    if (IsInterim || !belongsTo(Conn, Response, Options)) {
       continue;
     }
 
--- a/net/HttpClient.h
+++ b/net/HttpClient.h
@@ -177,6 +177,9 @@
   ExchangeResult sendRequest(Connection &Conn, HttpRequest &Request,
                              const ExchangeOptions &Options,
                              const boost::asio::yield_context &Yield);
+
+  /// Reads the response to \p Request. Interim responses (1xx) and responses to
+  /// earlier requests are dropped.
   ExchangeResult readResponse(Connection &Conn, const HttpRequest &Request,
                               const ExchangeOptions &Options,
                               const boost::asio::yield_context &Yield);
--- a/tests/net/HttpClientFaultTest.cpp
+++ b/tests/net/HttpClientFaultTest.cpp
@@ -431,3 +431,27 @@
     cr_assert_lt(BootClock::now() - SentAt, seconds(1));
   });
 }
+
+/// Where responses have no ids, an interim response was taken for the response
+/// to the request.
+Test(HttpClientFault, InterimResponseTakenForTheResponse) {
+  FaultFixture Fixture(
+      [](tcp::socket &Socket, const asio::yield_context &Yield) {
+        readHead(Socket, Yield);
+        send(Socket,
+             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" +
+                 answer("a", "body"),
+             Yield);
+        readHead(Socket, Yield);
+      });
+  Fixture.run([&](const asio::yield_context &Yield) {
+    HttpRequest Request(http::verb::get, "/", 11);
+    tcp::endpoint At = Fixture.Listener.local_endpoint();
+    ExchangeResult Result = Fixture.Client.exchange(
+        {"127.0.0.1", At.port()}, Request,
+        {.Deadline = BootClock::now() + seconds(2)}, Yield);
+    cr_assert(Result.Outcome == ExchangeOutcome::Answered);
+    cr_assert_eq(Result.Response.result_int(), 200);
+    cr_assert_eq(Result.Response.body(), "body");
+  });
+}
