net: a response with a status outside the protocol ends its exchange

Callers got responses with the status 000. Cause: Beast's parser accepts any three digits, and HttpClient took what it parsed. Where responses are attributed by their order, 000 was the response: the mesh daemon handed such a response of another daemon on to its caller, the daemon of the product's own interface that of its backend server, and hemlocksparctl printed it. Where they are attributed by id, a status below 200 was taken for an interim response and dropped, so the caller got 504 at its deadline. 600 to 999 were handed on everywhere, and 101, which no request asks for, was taken for a response or for an interim one.

ResponseHeadCheck looks at the status as soon as it is parsed, in the one place where HttpClient reads responses, so it holds for backend servers, other daemons, the store, health paths and hemlocksparctl. The exchange is ambiguous: the request may have run, the connection is closed, nothing is handed on.

BudgetedRead was used for responses alone and is no template any more.

Evidence: on MalformedResponse.StatusOutsideTheProtocolTakenForAnAnswer, SwitchOfProtocolsReadToTheDeadline and MalformedInterimResponse failed, the first in all 96 cases (alone, in pieces, behind a 1xx, second on a connection; by id and by order).

--- a/net/BudgetedRead.h
+++ b/net/BudgetedRead.h
@@ -2,6 +2,7 @@
 
 #include "net/Http.h"
 #include "net/MemoryBudget.h"
+#include "net/ResponseHeadCheck.h"
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/spawn.hpp>
@@ -42,12 +43,10 @@
   return Unparsed + (Body.size() / StepBytes + 2) * StepBytes;
 }
 
-/// Reads one message on Stream while its memory is reserved before it is kept:
+/// Reads one response on Stream while its memory is reserved before it is kept:
 /// an announced length as a whole, a chunked body as it grows.
-template <bool IsRequest> class BudgetedRead {
+class BudgetedRead {
 public:
-  using Parser = http::parser<IsRequest, http::string_body>;
-
   /// \p MaxBodyBytes bounds a body of unknown length.
   BudgetedRead(boost::beast::tcp_stream &Stream,
                boost::beast::flat_buffer &Buffer,
@@ -56,8 +55,9 @@
   }
 
   /// Reads the next part. Fails with BudgetError when the budget is short or
-  /// the reservation was dropped.
-  boost::system::error_code readSome(Parser &Into,
+  /// the reservation was dropped, and with an error of Beast's HTTP category
+  /// when the response is malformed.
+  boost::system::error_code readSome(ResponseParser &Into,
                                      const boost::asio::yield_context &Yield) {
     boost::system::error_code Error;
     if (!this->Held.grow(neededBytes(Into, this->Buffer, this->MaxBodyBytes),
@@ -71,10 +71,14 @@
       Error = this->receive(Into, Yield);
     }
     if (!Error && !Into.is_done()) {
-      Into.eager(Into.is_header_done());
+      bool InHead = !Into.is_header_done();
+      Into.eager(!InHead);
       this->Buffer.consume(Into.put(this->Buffer.data(), Error));
       this->NeedsInput = Error == http::error::need_more;
       Error = this->NeedsInput ? boost::system::error_code() : Error;
+      if (InHead && !Error) {
+        Error = this->HeadCheck.check(Into);
+      }
     }
     this->Held.onProgress(BootClock::now());
     return this->Held.isDropped() ? BudgetError : Error;
@@ -84,7 +88,7 @@
   /// Number of bytes received at once.
   static constexpr std::size_t ReceiveBytes = 4096;
 
-  boost::system::error_code receive(Parser &Into,
+  boost::system::error_code receive(ResponseParser &Into,
                                     const boost::asio::yield_context &Yield) {
     boost::system::error_code Error;
     if (this->Buffer.size() + ReceiveBytes > this->Buffer.max_size()) {
@@ -107,6 +111,7 @@
   boost::beast::flat_buffer &Buffer;
   MemoryBudget::Reservation &Held;
   std::uint64_t MaxBodyBytes;
+  ResponseHeadCheck HeadCheck;
 
   /// What is in the buffer is not enough to parse on.
   bool NeedsInput = false;
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -244,7 +244,7 @@
   error_code Error;
   std::uint64_t Counted = 0;
   MemoryBudget::Reservation Held(this->Bounds.Memory, HolderKind::Response);
-  BudgetedRead<false> Reader(
+  BudgetedRead Reader(
       Conn.Stream, Conn.Buffer, Held,
       std::min(this->Bounds.MaxBodyBytes, this->Bounds.Memory->largeLimit()));
 
--- a/net/HttpClient.h
+++ b/net/HttpClient.h
@@ -5,12 +5,12 @@
 #include "net/DeadPeerDetection.h"
 #include "net/Http.h"
 #include "net/MemoryBudget.h"
+#include "net/ResponseHeadCheck.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -140,8 +140,6 @@
   void closeIdleExcept(const std::set<Address> &Kept);
 
 private:
-  using ResponseParser = http::response_parser<http::string_body>;
-
   static constexpr std::size_t MaxUnparsedBytes = 256 << 10;
 
   /// A connection is closed after this many requests with ids, which it must
--- /dev/null
+++ b/net/ResponseHeadCheck.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "net/Http.h"
+
+#include <boost/beast/http/parser.hpp>
+
+namespace hemlockspar {
+
+using ResponseParser = http::response_parser<http::string_body>;
+
+/// Finds the faults in the head of a response that Beast's parser accepts. Free
+/// of I/O.
+class ResponseHeadCheck {
+public:
+  /// Checks what \p Parser has parsed; to be called for each part of the head.
+  /// Returns an error of Beast's HTTP category.
+  boost::system::error_code check(const ResponseParser &Parser);
+};
+
+} // namespace hemlockspar
--- /dev/null
+++ b/tests/net/MalformedResponseTest.cpp
@@ -0,0 +1,214 @@
+#include "core/EnumNames.h"
+#include "tests/net/FaultFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace hemlockspar;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// How the server delivers its malformed response.
+enum class Delivery { Alone, InPieces, BehindInterim, SecondOnConnection };
+
+constexpr std::array<const char *, 4> DeliveryNames = {
+    "alone", "in pieces", "behind a 1xx response", "second on a connection"};
+
+/// How the client finds out to which request a response belongs.
+enum class Attribution { ById, ByOrder };
+
+constexpr std::array<const char *, 2> AttributionNames = {"by id", "by order"};
+
+constexpr std::size_t PieceBytes = 5;
+constexpr auto ExchangeTimeout = seconds(5);
+
+/// A malformed response ends its exchange on arrival.
+constexpr auto MaxRejectTime = seconds(2);
+constexpr auto MaxCloseTime = seconds(2);
+
+const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// A server that answers one request with a malformed response and keeps the
+/// connection open, and all others properly.
+class MalformingServer {
+public:
+  MalformingServer(std::string Malformed, Delivery How)
+      : Malformed(std::move(Malformed)), How(How),
+        Fixture([this](tcp::socket &Socket, const asio::yield_context &Yield) {
+          this->serve(Socket, Yield);
+        }) {}
+
+  ExchangeResult exchange(const std::string &Id, Attribution By,
+                          const asio::yield_context &Yield) {
+    if (By == Attribution::ById) {
+      return this->Fixture.exchange(Id, "", ExchangeTimeout, Yield);
+    }
+    HttpRequest Request(http::verb::post, "/", 11);
+    Request.set("Request-Id", Id);
+    tcp::endpoint At = this->Fixture.Listener.local_endpoint();
+    return this->Fixture.Client.exchange(
+        {"127.0.0.1", At.port()}, Request,
+        {.Deadline = BootClock::now() + ExchangeTimeout}, Yield);
+  }
+
+  /// Waits until the client closes the connection of the malformed response;
+  /// returns whether it does.
+  bool waitUntilClosed(const asio::yield_context &Yield) {
+    TimePoint Until = BootClock::now() + MaxCloseTime;
+    while (!this->Closed && BootClock::now() < Until) {
+      sleepFor(this->Fixture.Io, milliseconds(5), Yield);
+    }
+    return this->Closed;
+  }
+
+private:
+  void serve(tcp::socket &Socket, const asio::yield_context &Yield) {
+    bool First = true;
+    bool IsMalformed = false;
+    while (true) {
+      std::string Head = readHead(Socket, Yield);
+      if (Head.empty()) {
+        this->Closed = this->Closed || IsMalformed;
+        return;
+      }
+      bool Due =
+          !this->Sent && !(First && this->How == Delivery::SecondOnConnection);
+      First = false;
+      if (!Due) {
+        send(Socket, answer(requestIdIn(Head), "whole"), Yield);
+        continue;
+      }
+      this->Sent = true;
+      IsMalformed = true;
+      if (!this->deliver(Socket, Yield)) {
+        this->Closed = true;
+        return;
+      }
+    }
+  }
+
+  /// Returns whether the client has not closed the connection meanwhile.
+  bool deliver(tcp::socket &Socket, const asio::yield_context &Yield) {
+    switch (this->How) {
+    case Delivery::Alone:
+    case Delivery::SecondOnConnection:
+      return send(Socket, this->Malformed, Yield);
+    case Delivery::BehindInterim:
+      return send(Socket, Interim + this->Malformed, Yield);
+    case Delivery::InPieces:
+      break;
+    }
+    for (std::size_t At = 0; At < this->Malformed.size(); At += PieceBytes) {
+      if (!send(Socket, this->Malformed.substr(At, PieceBytes), Yield)) {
+        return false;
+      }
+      sleepFor(this->Fixture.Io, milliseconds(1), Yield);
+    }
+    return true;
+  }
+
+  std::string Malformed;
+  Delivery How;
+  bool Sent = false;
+  bool Closed = false;
+
+public:
+  FaultFixture Fixture;
+};
+
+/// Why the response was not rejected as it must be; empty if it was.
+std::string findFault(const std::string &Malformed, Delivery How,
+                      Attribution By) {
+  MalformingServer Server(Malformed, How);
+  std::string Fault;
+  Server.Fixture.run([&](const asio::yield_context &Yield) {
+    if (How == Delivery::SecondOnConnection) {
+      Server.exchange("first", By, Yield);
+    }
+    TimePoint SentAt = BootClock::now();
+    ExchangeResult Result = Server.exchange("a", By, Yield);
+    Duration Elapsed = BootClock::now() - SentAt;
+    bool Closed = Server.waitUntilClosed(Yield);
+    ExchangeResult Next = Server.exchange("b", By, Yield);
+
+    if (Result.Outcome != ExchangeOutcome::Ambiguous) {
+      Fault = "accepted";
+    } else if (Elapsed > MaxRejectTime) {
+      Fault = "read to the deadline";
+    } else if (!Result.Response.body().empty()) {
+      Fault = "handed on in part";
+    } else if (!Closed || Server.Fixture.Connections != 2) {
+      Fault = "connection kept";
+    } else if (Next.Response.body() != "whole") {
+      Fault = "next response not received";
+    }
+  });
+  return Fault;
+}
+
+/// Checks that each response is rejected, however it is delivered and
+/// attributed.
+void expectRejected(const std::vector<std::string> &Responses) {
+  std::string Faults;
+  for (const std::string &Malformed : Responses) {
+    for (std::size_t By = 0; By < AttributionNames.size(); ++By) {
+      for (std::size_t How = 0; How < DeliveryNames.size(); ++How) {
+        std::string Fault = findFault(Malformed, static_cast<Delivery>(How),
+                                      static_cast<Attribution>(By));
+        if (!Fault.empty()) {
+          Faults += Fault + " (" + DeliveryNames[How] + ", " +
+                    AttributionNames[By] + "): " + Malformed + "\n";
+        }
+      }
+    }
+  }
+  cr_assert(Faults.empty(), "%s", Faults.c_str());
+}
+
+/// A response with the status line \p Status, and with \p Line among its
+/// fields, that is proper otherwise.
+std::string responseWith(const std::string &Status, const std::string &Line) {
+  return "HTTP/1.1 " + Status + "\r\nRequest-Id: a\r\nServer-Stamp: s\r\n" +
+         Line + "Content-Length: 4\r\n\r\nbody";
+}
+
+/// Responses, a success and a refusal, with \p Line among their fields.
+std::vector<std::string> responsesWith(const std::vector<std::string> &Lines) {
+  std::vector<std::string> Responses;
+  for (const std::string &Line : Lines) {
+    Responses.push_back(responseWith("200 OK", Line));
+    Responses.push_back(
+        responseWith("503 Unavailable", "Not-Executed: 1\r\n" + Line));
+  }
+  return Responses;
+}
+
+} // namespace
+
+/// A backend server's response with the status 000 reached a caller.
+Test(MalformedResponse, StatusOutsideTheProtocolTakenForAnAnswer) {
+  std::vector<std::string> Responses;
+  for (const char *Status :
+       {"000 ", "000 OK", "001 OK", "099 OK", "600 OK", "999 OK"}) {
+    Responses.push_back(responseWith(Status, ""));
+    Responses.push_back(responseWith(Status, "Not-Executed: 1\r\n"));
+  }
+  expectRejected(Responses);
+}
+
+/// No request asks for another protocol.
+Test(MalformedResponse, SwitchOfProtocolsReadToTheDeadline) {
+  expectRejected({responseWith("101 Switching Protocols", ""),
+                  responseWith("101 Switching Protocols",
+                               "Connection: Upgrade\r\nUpgrade: other\r\n")});
+}
+
+/// A 1xx response with a malformed head, before a proper response.
+Test(MalformedResponse, MalformedInterimResponse) {
+  expectRejected(
+      {"HTTP/1.1 100 Continue\r\nField Name: x\r\n\r\n" + answer("a", "body"),
+       "HTTP/1.1 000 Continue\r\n\r\n" + answer("a", "body"),
+       "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nok" +
+           answer("a", "body")});
+}
