net: a line of a response's head that begins with a blank ends the exchange

Callers got responses in whose head the name of a field began with a blank, with that line as the end of the value before it: ' Not-Executed: 1' behind 'Server-Stamp: s' made the stamp 's Not-Executed: 1'. With ' Content-Length: 4' the length was lost and the response was read until the deadline.

Cause: Beast's parser takes such a line for a continuation of the field before it (obs-fold). RFC 9112, section 5.2, forbids these in responses, and a gateway may discard such a response. ResponseHeadCheck finds them in the bytes of the head, as the parsed fields show nothing of it.

Evidence: MalformedResponse.BlankBeforeAFieldNameJoinsTwoFields failed before (alone, in pieces, behind a 1xx and second on a connection, by id and by order).

--- a/net/BudgetedRead.h
+++ b/net/BudgetedRead.h
@@ -73,12 +73,16 @@
     if (!Error && !Into.is_done()) {
       bool InHead = !Into.is_header_done();
       Into.eager(!InHead);
-      this->Buffer.consume(Into.put(this->Buffer.data(), Error));
+      auto Input = this->Buffer.cdata();
+      std::size_t Consumed = Into.put(Input, Error);
       this->NeedsInput = Error == http::error::need_more;
       Error = this->NeedsInput ? boost::system::error_code() : Error;
       if (InHead && !Error) {
-        Error = this->HeadCheck.check(Into);
+        Error = this->HeadCheck.check(
+            Into, {static_cast<const char *>(Input.data()), Input.size()},
+            Consumed);
       }
+      this->Buffer.consume(Consumed);
     }
     this->Held.onProgress(BootClock::now());
     return this->Held.isDropped() ? BudgetError : Error;
--- a/net/ResponseHeadCheck.h
+++ b/net/ResponseHeadCheck.h
@@ -12,9 +12,11 @@
 /// of I/O.
 class ResponseHeadCheck {
 public:
-  /// Checks what \p Parser has parsed; to be called for each part of the head.
-  /// Returns an error of Beast's HTTP category.
-  boost::system::error_code check(const ResponseParser &Parser);
+  /// Checks the head after \p Parser was given \p Input and has consumed its
+  /// first \p Consumed bytes; to be called for each part of the head. Returns
+  /// an error of Beast's HTTP category.
+  boost::system::error_code check(const ResponseParser &Parser,
+                                  std::string_view Input, std::size_t Consumed);
 };
 
 } // namespace hemlockspar
--- a/tests/net/MalformedResponseTest.cpp
+++ b/tests/net/MalformedResponseTest.cpp
@@ -204,6 +204,46 @@
                                "Connection: Upgrade\r\nUpgrade: other\r\n")});
 }
 
+/// field reached a caller.
+Test(MalformedResponse, BlankOrControlCharacterInAFieldName) {
+  std::vector<std::string> Lines = {"Field Name: x\r\n",
+                                    "Field\tName: x\r\n",
+                                    "Content-Length : 2\r\n",
+                                    "Content-Length\t: 2\r\n",
+                                    "Content Length: 2\r\n",
+                                    "Transfer-Encoding : chunked\r\n",
+                                    "Not-Executed : 1\r\n",
+                                    "Field\rName: x\r\n",
+                                    "Field\nName: x\r\n",
+                                    "Field\x01Name: x\r\n",
+                                    "Field\x1fName: x\r\n",
+                                    "Field\x7fName: x\r\n",
+                                    "Field\x80Name: x\r\n",
+                                    ": x\r\n",
+                                    "Field\r\n"};
+  Lines.push_back(std::string("Field\0Name: x\r\n", 15));
+  expectRejected(responsesWith(Lines));
+}
+
+/// The same at the start of a name, in the first line after the status line.
+Test(MalformedResponse, BlankBeforeTheFirstFieldName) {
+  expectRejected({"HTTP/1.1 200 OK\r\n Request-Id: a\r\nServer-Stamp: s\r\n"
+                  "Content-Length: 4\r\n\r\nbody",
+                  "HTTP/1.1 200 OK\r\n\tRequest-Id: a\r\nServer-Stamp: s\r\n"
+                  "Content-Length: 4\r\n\r\nbody"});
+}
+
+/// before it, so its own field was lost.
+Test(MalformedResponse, BlankBeforeAFieldNameJoinsTwoFields) {
+  expectRejected(
+      responsesWith({" Field: x\r\n", "\tField: x\r\n", " Not-Executed: 1\r\n",
+                     " \r\n", "Field:\r\n x\r\n"}));
+  expectRejected({"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Stamp: s\r\n"
+                  " Content-Length: 4\r\n\r\nbody",
+                  "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Stamp: s\r\n"
+                  "Content-Length: 4\r\n Field: x\r\n\r\nbody"});
+}
+
 /// A 1xx response with a malformed head, before a proper response.
 Test(MalformedResponse, MalformedInterimResponse) {
   expectRejected(
