tests: malformed responses between processes

Stand-ins of backend servers, of the store and of the table service, and the fault proxy, malform the heads of responses: status 000, a blank or a control character in the name of a field, a blank before it.

--- a/stand_ins/FakeBackendServer.cpp
+++ b/stand_ins/FakeBackendServer.cpp
@@ -92,7 +92,9 @@
     this->updateGrants(readJson(Request.body()).value_or(Json::Value()));
     return jsonResponse(http::status::ok, Json::Value("noted"));
   }
-  return this->run(Request, Watch, Yield);
+  HttpResponse Response = this->run(Request, Watch, Yield);
+  malformHead(Response, this->Faults.Head);
+  return Response;
 }
 
 HttpResponse FakeBackendServer::health() {
--- a/stand_ins/FakePlatformServer.cpp
+++ b/stand_ins/FakePlatformServer.cpp
@@ -254,6 +254,14 @@
 
 HttpResponse FakePlatformServer::serve(HttpRequest &Request,
                                        const asio::yield_context &Yield) {
+  HttpResponse Response = this->serveCall(Request, Yield);
+  std::lock_guard Lock(this->Mutex);
+  malformHead(Response, this->Faults.Head);
+  return Response;
+}
+
+HttpResponse FakePlatformServer::serveCall(HttpRequest &Request,
+                                           const asio::yield_context &Yield) {
   std::string Path =
       targetPath({Request.target().data(), Request.target().size()});
   auto Call = Path == GrantPath || Path == ReleasePath
--- a/stand_ins/FakePlatformServer.h
+++ b/stand_ins/FakePlatformServer.h
@@ -3,6 +3,7 @@
 #include "core/Clock.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
+#include "stand_ins/HeadFault.h"
 #include "stand_ins/OwnershipChecker.h"
 
 #include <json/value.h>
@@ -23,6 +24,9 @@
   /// Responds with the id of another request.
   bool WrongRequestIds = false;
 
+  /// Malforms the heads of all responses.
+  HeadFault Head = HeadFault::None;
+
   /// Records each request as executed twice.
   bool RunTwice = false;
 
@@ -104,6 +108,8 @@
 private:
   HttpResponse serve(HttpRequest &Request,
                      const boost::asio::yield_context &Yield);
+  HttpResponse serveCall(HttpRequest &Request,
+                         const boost::asio::yield_context &Yield);
   HttpResponse serveGrantCall(const std::string &Path, const Json::Value &Call,
                               const boost::asio::yield_context &Yield);
   HttpResponse applyGrant(const Json::Value &Call, TimePoint ArrivedAt);
--- a/stand_ins/FaultProxy.cpp
+++ b/stand_ins/FaultProxy.cpp
@@ -117,6 +117,9 @@
     if (!Outbound && Faults.InboundRate > 0) {
       this->awaitLink(Connection->From, Count, Faults.InboundRate, Yield);
     }
+    if (!Outbound) {
+      malformHead(std::span(Buffer.data(), Count), Faults.InboundHead);
+    }
     asio::async_write(Sink, asio::buffer(Buffer.data(), Count), Yield[Error]);
     if (!Outbound && Faults.MaxInboundBytes > 0) {
       InboundBytes += Count;
@@ -159,6 +162,9 @@
     Combined.MaxInboundBytes =
         std::max(Combined.MaxInboundBytes, Faults.MaxInboundBytes);
     Combined.InboundRate = std::max(Combined.InboundRate, Faults.InboundRate);
+    if (Faults.InboundHead != HeadFault::None) {
+      Combined.InboundHead = Faults.InboundHead;
+    }
   }
   return Combined;
 }
@@ -179,6 +185,7 @@
   Faults.DelayMs = getUnsigned(*Fields, "delay_ms");
   Faults.MaxInboundBytes = getUnsigned(*Fields, "max_back_bytes");
   Faults.InboundRate = getUnsigned(*Fields, "back_rate");
+  Faults.InboundHead = headFaultOf(getString(*Fields, "back_head"));
 
   this->applyToOpenConnections();
   Faults.StallOpen = false;
--- a/stand_ins/FaultProxy.h
+++ b/stand_ins/FaultProxy.h
@@ -2,6 +2,7 @@
 
 #include "net/Address.h"
 #include "net/HttpServer.h"
+#include "stand_ins/HeadFault.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <list>
@@ -33,12 +34,16 @@
   /// Rate of inbound data in bytes per second, shared by all connections that
   /// the same address has opened; 0 for no limit.
   std::uint64_t InboundRate = 0;
+
+  /// Malforms the heads of HTTP responses.
+  HeadFault InboundHead = HeadFault::None;
 };
 
 /// TCP proxy that delays, discards or cuts traffic by its source and
 /// destination IP address. Faults are set over HTTP at run time: PUT /links
 /// {"from", "to", "cut_out", "cut_back", "reset", "stall_open", "delay_ms",
-/// "max_back_bytes", "back_rate"}; an empty from or to matches every address.
+/// "max_back_bytes", "back_rate", "back_head"}; an empty from or to matches
+/// every address.
 class FaultProxy {
 public:
   explicit FaultProxy(boost::asio::io_context &Io);
--- a/stand_ins/table_stand_in.cpp
+++ b/stand_ins/table_stand_in.cpp
@@ -41,6 +41,17 @@
       return this->stats();
     }
 
+    HttpResponse Response = this->serveCall(Request, Yield);
+    malformHead(Response, this->Faults.Head);
+    return Response;
+  }
+
+private:
+  HttpResponse serveCall(HttpRequest &Request,
+                         const asio::yield_context &Yield) {
+    std::string_view Target(Request.target().data(), Request.target().size());
+    std::string Path = targetPath(Target);
+
     this->sleep(std::chrono::milliseconds(this->Faults.DelayMs), Yield);
     if (this->Faults.Down) {
       return problemResponse(http::status::service_unavailable, "down", "");
@@ -54,7 +65,6 @@
     return problemResponse(http::status::not_found, "not found", Path);
   }
 
-private:
   HttpResponse commit(const HttpRequest &Request,
                       const asio::yield_context &Yield) {
     auto Body = readJson(Request.body());
--- a/tests/integration/RequestTest.cpp
+++ b/tests/integration/RequestTest.cpp
@@ -3,6 +3,7 @@
 #include "core/Json.h"
 #include "daemon/RequestHeaders.h"
 #include "net/Address.h"
+#include "stand_ins/HeadFault.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
@@ -210,3 +211,88 @@
     return false;
   }));
 }
+
+/// Malformed responses of backend servers and of other daemons were handed on:
+/// the outcome of such a request is unknown, and is reported at once.
+Test(Request, MalformedResponseHandedOn) {
+  MeshOptions Options;
+  Options.Proxied = true;
+  Mesh Cluster(34, Options);
+  cr_assert(Cluster.start());
+  Address Backend{Cluster.instances()[0].Host, 8090};
+
+  // The slot of a request whose outcome is unknown is not free at once, so
+  // each request has a key of its own.
+  int LastKey = 0;
+  auto NextKey = [&] {
+    std::string Key;
+    do {
+      Key = "k" + std::to_string(++LastKey);
+    } while (Cluster.ownerOf(Key, 0) != 0);
+    return Key;
+  };
+  auto ExpectUnknown = [&](int Index, HeadFault Fault) {
+    TimePoint SentAt = BootClock::now();
+    ExchangeResult Exchange =
+        Cluster.send(Index, http::verb::post, NextKey(),
+                     {{headers::TimeoutMs, "8000"}}, "deposit");
+    cr_assert(BootClock::now() - SentAt < std::chrono::seconds(3), "%s",
+              nameOf(Fault));
+    cr_assert_eq(Exchange.Response.result_int(), 502, "%s: status %u",
+                 nameOf(Fault), Exchange.Response.result_int());
+    cr_assert(outcomeOf(Exchange) == "unknown");
+    cr_assert(reasonOf(Exchange) == "connection-broken");
+    cr_assert(Exchange.Response.body().find("deposit") == std::string::npos);
+  };
+
+  for (HeadFault Fault : HeadFaults) {
+    Json::Value OfBackend;
+    OfBackend["head"] = nameOf(Fault);
+    Cluster.put(Backend, "/faults", OfBackend);
+    ExpectUnknown(0, Fault);
+    ExpectUnknown(1, Fault);
+    OfBackend["head"] = nameOf(HeadFault::None);
+    Cluster.put(Backend, "/faults", OfBackend);
+
+    Json::Value OfLink;
+    OfLink["back_head"] = nameOf(Fault);
+    Cluster.setLink(1, 0, OfLink);
+    ExpectUnknown(1, Fault);
+    Cluster.setLink(1, 0, Json::Value(Json::objectValue));
+    ExchangeResult Served = Cluster.send(1, http::verb::post, NextKey());
+    cr_assert_eq(Served.Response.result_int(), 200);
+  }
+}
+
+/// Malformed responses of the table service are no commits and no rows: a
+/// change is confirmed only once it responds properly again.
+Test(Request, MalformedTableResponseTakenForACommit) {
+  Mesh Cluster(35, {});
+  cr_assert(Cluster.start());
+  Json::Value Keyspace;
+  Keyspace["spec"]["service"] = "menus";
+  Keyspace["spec"]["slots"] = 8;
+
+  for (HeadFault Fault : HeadFaults) {
+    Json::Value Faults;
+    Faults["head"] = nameOf(Fault);
+    Cluster.setTableFaults(Faults);
+    std::string Target =
+        "/v1/keyspaces/x" + std::to_string(static_cast<int>(Fault));
+    auto Declare = [&] {
+      return Cluster.put(Cluster.apiAddress(0), Target, Keyspace,
+                         {{"If-None-Match", "*"}});
+    };
+    int Status = Declare();
+    cr_assert_geq(Status, 500, "%s: status %d", nameOf(Fault), Status);
+    ExchangeResult Served = Cluster.send(0, http::verb::get, "k1");
+    cr_assert_eq(Served.Response.result_int(), 200);
+
+    Faults["head"] = nameOf(HeadFault::None);
+    Cluster.setTableFaults(Faults);
+    cr_assert(Cluster.waitUntil([&] {
+      Declare();
+      return !Cluster.getJson(Cluster.apiAddress(0), Target).isNull();
+    }));
+  }
+}
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -132,6 +132,7 @@
   Fields["delay_ms"] = Json::UInt64(Faults.DelayMs);
   Fields["max_back_bytes"] = Json::UInt64(Faults.MaxInboundBytes);
   Fields["back_rate"] = Json::UInt64(Faults.InboundRate);
+  Fields["back_head"] = nameOf(Faults.InboundHead);
   HttpRequest Request(http::verb::put, "/links", 11);
   Request.set(http::field::host, "proxy");
   Request.body() = writeJson(Fields);
