net: a malformed head is rejected before it ends

A head that arrived in pieces, was malformed and did not end (lines that end with a bare newline, bytes that are no response, a stalled connection) was read until the deadline, which the caller then got as 504.

Cause: once a part of the head has ended within a line, Beast's parser looks at nothing further before it finds the end of the head. ResponseHeadCheck now gives what is unparsed to a parser of its own, each time that more has arrived.

--- a/net/ResponseHeadCheck.cpp
+++ b/net/ResponseHeadCheck.cpp
@@ -1,6 +1,8 @@
 #include "net/ResponseHeadCheck.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
+#include <limits>
 
 namespace hemlockspar {
 
@@ -20,6 +22,9 @@
   return MinStatus <= Status && Status <= MaxStatus && Status != Switching;
 }
 
+/// A proper status line, for the fields of a response whose own was parsed.
+constexpr std::string_view StatusLine = "HTTP/1.1 200 OK\r\n";
+
 /// Whether a line of \p Head begins with a blank. Such a line continues the
 /// field before it, a form that RFC 9112 forbids in responses (section 5.2), or
 /// its field's name is malformed.
@@ -42,7 +47,28 @@
   if (hasContinuedLine(Head)) {
     return http::error::bad_field;
   }
-  return {};
+  this->HasStatusLine = this->HasStatusLine || Consumed > 0;
+  return Parser.is_header_done()
+             ? error_code()
+             : this->checkIncomplete(Input.substr(Consumed));
+}
+
+error_code ResponseHeadCheck::checkIncomplete(std::string_view Unparsed) const {
+  // Once a part of the head has ended within a line, the parser looks at no
+  // other until the whole head is there.
+  std::string Lines(this->HasStatusLine ? StatusLine : std::string_view());
+  Lines.append(Unparsed);
+
+  ResponseParser Parser;
+  Parser.header_limit(std::numeric_limits<std::uint32_t>::max());
+  error_code Error;
+  Parser.put(boost::asio::buffer(Lines), Error);
+  if (Error == http::error::need_more) {
+    Error = {};
+  }
+  return Error || isValidStatus(Parser.get().result_int())
+             ? Error
+             : error_code(http::error::bad_status);
 }
 
 } // namespace hemlockspar
--- a/net/ResponseHeadCheck.h
+++ b/net/ResponseHeadCheck.h
@@ -8,8 +8,8 @@
 
 using ResponseParser = http::response_parser<http::string_body>;
 
-/// Finds the faults in the head of a response that Beast's parser accepts. Free
-/// of I/O.
+/// Finds the faults in the head of a response that Beast's parser accepts or
+/// does not find before the end of the head. Free of I/O.
 class ResponseHeadCheck {
 public:
   /// Checks the head after \p Parser was given \p Input and has consumed its
@@ -17,6 +17,12 @@
   /// an error of Beast's HTTP category.
   boost::system::error_code check(const ResponseParser &Parser,
                                   std::string_view Input, std::size_t Consumed);
+
+private:
+  boost::system::error_code checkIncomplete(std::string_view Unparsed) const;
+
+  /// Whether the status line has been parsed.
+  bool HasStatusLine = false;
 };
 
 } // namespace hemlockspar
--- a/tests/net/MalformedResponseTest.cpp
+++ b/tests/net/MalformedResponseTest.cpp
@@ -252,3 +252,42 @@
        "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nok" +
            answer("a", "body")});
 }
+
+/// deadline.
+Test(MalformedResponse, MalformedHeadThatStallsReadToTheDeadline) {
+  const std::string Start = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
+  expectRejected({"HTTP/1.1 000 OK\r\nReq", Start + "Field Name: x\r\nServ",
+                  Start + "Field\x01Name", Start + " Field: x\r\nServ",
+                  Start + "Field: a\x01", "HTTP/1.1 200 OK\nRequest-Id: a\n\n",
+                  "HTTP/2.0 200 OK\r\n", "\x16\x03\x01\x02no response"});
+}
+
+/// A proper response is accepted wherever it is split on its way.
+Test(MalformedResponse, ProperResponseInTwoPartsRejected) {
+  const std::string Proper =
+      "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nEmpty:\r\nx!#$%&'*+-.^_`|~9:\tb  c "
+      "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  std::size_t Split = 0;
+  FaultFixture *Server = nullptr;
+  FaultFixture Fixture(
+      [&](tcp::socket &Socket, const asio::yield_context &Yield) {
+        while (!readHead(Socket, Yield).empty()) {
+          send(Socket, Proper.substr(0, Split), Yield);
+          sleepFor(Server->Io, milliseconds(1), Yield);
+          send(Socket, Proper.substr(Split), Yield);
+        }
+      });
+  Server = &Fixture;
+  Fixture.run([&](const asio::yield_context &Yield) {
+    for (Split = 1; Split < Proper.size(); ++Split) {
+      HttpRequest Request(http::verb::get, "/", 11);
+      tcp::endpoint At = Fixture.Listener.local_endpoint();
+      ExchangeResult Result = Fixture.Client.exchange(
+          {"127.0.0.1", At.port()}, Request,
+          {.Deadline = BootClock::now() + ExchangeTimeout}, Yield);
+      cr_assert(Result.Outcome == ExchangeOutcome::Answered, "split at %zu: %s",
+                Split, Result.Error.c_str());
+      cr_assert_eq(Result.Response.body(), "body");
+    }
+  });
+}
