net: a response with an unknown transfer coding ends its exchange

Callers got the coded bytes as the body: with 'gzip, chunked' the chunks were taken off, the Transfer-Encoding field was dropped as one of the connection, and what was left is not the backend server's body. With a coding that is not chunked in the end the response was read until the connection closed or to the deadline.

Cause: Beast's parser looks for chunked alone. No request offers a coding (TE is dropped), so none but chunked can be read. ResponseHeadCheck applies the check that requests had already (hasKnownTransferCoding).

Evidence: MalformedResponse.UnknownTransferCodingTakenForTheBody failed before in all deliveries, by id and by order.

--- a/net/Http.cpp
+++ b/net/Http.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Json.h"
 
+#include <boost/beast/core/string.hpp>
 #include <boost/url/parse.hpp>
 #include <charconv>
 
@@ -43,6 +44,13 @@
   return Whole ? std::optional(Number) : std::nullopt;
 }
 
+bool hasKnownTransferCoding(const http::fields &Fields) {
+  constexpr auto Field = http::field::transfer_encoding;
+  std::size_t Count = Fields.count(Field);
+  return Count == 0 ||
+         (Count == 1 && boost::beast::iequals(Fields[Field], "chunked"));
+}
+
 std::string targetPath(std::string_view Target) {
   return std::string(Target.substr(0, Target.find('?')));
 }
--- a/net/Http.h
+++ b/net/Http.h
@@ -57,6 +57,10 @@
 std::optional<std::uint64_t> numericHeaderValue(const http::fields &Fields,
                                                 std::string_view Name);
 
+/// Whether the body of the message is coded in chunks or not at all, so that it
+/// can be read and its end is known.
+bool hasKnownTransferCoding(const http::fields &Fields);
+
 /// Path of a request target, without its query.
 std::string targetPath(std::string_view Target);
 
--- a/net/ReadRequest.cpp
+++ b/net/ReadRequest.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/read_size.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -26,15 +25,6 @@
 
 using RequestParser = http::request_parser<http::string_body>;
 
-/// Whether the end of the request's body is known: it has a length, or chunked
-/// is its only transfer coding.
-bool hasReadableBody(const HttpRequest &Request) {
-  constexpr auto Field = http::field::transfer_encoding;
-  std::size_t Count = Request.count(Field);
-  return Count == 0 ||
-         (Count == 1 && boost::beast::iequals(Request[Field], "chunked"));
-}
-
 /// Reads more bytes for \p Parser into \p Buffer.
 void fillBuffer(boost::beast::flat_buffer &Buffer, RequestParser &Parser,
                 const FillFunction &Fill, error_code &Error) {
@@ -125,7 +115,7 @@
   Held.pin();
 
   // The body of another coding could not be told from the next request.
-  if (!Result.Error && !hasReadableBody(Parser.get())) {
+  if (!Result.Error && !hasKnownTransferCoding(Parser.get())) {
     Result.Error = http::error::bad_transfer_encoding;
   }
   if (!Result.Error) {
--- a/net/ResponseHeadCheck.cpp
+++ b/net/ResponseHeadCheck.cpp
@@ -48,9 +48,13 @@
     return http::error::bad_field;
   }
   this->HasStatusLine = this->HasStatusLine || Consumed > 0;
-  return Parser.is_header_done()
-             ? error_code()
-             : this->checkIncomplete(Input.substr(Consumed));
+  if (!Parser.is_header_done()) {
+    return this->checkIncomplete(Input.substr(Consumed));
+  }
+  if (!hasKnownTransferCoding(Parser.get())) {
+    return http::error::bad_transfer_encoding;
+  }
+  return {};
 }
 
 error_code ResponseHeadCheck::checkIncomplete(std::string_view Unparsed) const {
--- a/tests/net/MalformedResponseTest.cpp
+++ b/tests/net/MalformedResponseTest.cpp
@@ -204,6 +204,7 @@
                                "Connection: Upgrade\r\nUpgrade: other\r\n")});
 }
 
+/// A response whose head had a blank or a control character in the name of a
 /// field reached a caller.
 Test(MalformedResponse, BlankOrControlCharacterInAFieldName) {
   std::vector<std::string> Lines = {"Field Name: x\r\n",
@@ -233,6 +234,7 @@
                   "Content-Length: 4\r\n\r\nbody"});
 }
 
+/// A line that begins with a blank was appended to the value of the field
 /// before it, so its own field was lost.
 Test(MalformedResponse, BlankBeforeAFieldNameJoinsTwoFields) {
   expectRejected(
@@ -253,6 +255,7 @@
            answer("a", "body")});
 }
 
+/// A malformed head that arrives in pieces and does not end was read until the
 /// deadline.
 Test(MalformedResponse, MalformedHeadThatStallsReadToTheDeadline) {
   const std::string Start = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
@@ -291,3 +294,17 @@
     }
   });
 }
+
+/// The coding of a body that is coded otherwise than in chunks was taken for
+/// the body.
+Test(MalformedResponse, UnknownTransferCodingTakenForTheBody) {
+  std::vector<std::string> Responses;
+  for (const std::string Coding :
+       {"gzip", "gzip, chunked", "chunked, gzip", "xchunked",
+        "gzip\r\nTransfer-Encoding: chunked"}) {
+    Responses.push_back("HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
+                        "Server-Stamp: s\r\nTransfer-Encoding: " +
+                        Coding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+  }
+  expectRejected(Responses);
+}
