net: a malformed JSON-RPC response ends its connection

Between the daemons of the product's own interface, the connection of a malformed response stayed in use, and what followed it on the connection was taken for the response to the next call. So were bytes behind a proper response.

Cause: RpcClient closed connections on errors of the socket alone. It now closes them when the line received is no JSON-RPC response, or when more has been received than one line. The call fails at once, as before.

Evidence: RpcClient.MalformedResponseKeepsTheConnection and BytesAfterAResponseTakenForTheNext failed before ('late' and 'extra' in place of 'proper'). Each case was seen by the test alone.

--- a/net/RpcClient.cpp
+++ b/net/RpcClient.cpp
@@ -149,6 +149,10 @@
   RpcResponse Response =
       RpcClientCodec::decodeResponse(Conn->Input.substr(0, Length - 1));
   Conn->Input.erase(0, Length);
+  // What follows could be taken for the response to the next call.
+  if (Response.Malformed || !Conn->Input.empty()) {
+    Conn->Socket.close(Error);
+  }
   return Response;
 }
 
--- a/net/RpcCodec.cpp
+++ b/net/RpcCodec.cpp
@@ -98,6 +98,7 @@
 
   if (nestsTooDeep(Text)) {
     Response.Error = "the response is nested too deeply";
+    Response.Malformed = true;
     return Response;
   }
 
@@ -106,8 +107,12 @@
     Response.Succeeded = true;
   } catch (const jsonrpc::JsonRpcException &Exception) {
     Response.Error = Exception.GetMessage();
+    Response.Malformed =
+        Exception.GetCode() == jsonrpc::Errors::ERROR_RPC_JSON_PARSE_ERROR ||
+        Exception.GetCode() == jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE;
   } catch (const Json::Exception &Exception) {
     Response.Error = Exception.what();
+    Response.Malformed = true;
   }
 
   return Response;
--- a/net/RpcCodec.h
+++ b/net/RpcCodec.h
@@ -14,6 +14,9 @@
 
   /// Set when the call did not succeed.
   std::string Error;
+
+  /// What was received is no JSON-RPC response.
+  bool Malformed = false;
 };
 
 /// Client side of JSON-RPC 2.0, based on libjsonrpccpp. The library calls its
