tests: requests with unknown outcomes have slots of their own

The slot of such a request is busy until the lease has ended, and two of the test's keys could share one. The message of another test is composed as the linter asks.

--- a/tests/integration/RequestTest.cpp
+++ b/tests/integration/RequestTest.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <csignal>
+#include <set>
 
 using namespace hemlockspar;
 
@@ -217,19 +218,25 @@
 Test(Request, MalformedResponseHandedOn) {
   MeshOptions Options;
   Options.Proxied = true;
+  Options.Slots = 256;
   Mesh Cluster(34, Options);
   cr_assert(Cluster.start());
   Address Backend{Cluster.instances()[0].Host, 8090};
 
   // The slot of a request whose outcome is unknown is not free at once, so
-  // each request has a key of its own.
+  // each request has a slot of its own.
   int LastKey = 0;
+  std::set<std::uint64_t> UsedSlots;
   auto NextKey = [&] {
-    std::string Key;
-    do {
-      Key = "k" + std::to_string(++LastKey);
-    } while (Cluster.ownerOf(Key, 0) != 0);
-    return Key;
+    while (true) {
+      std::string Key = "k" + std::to_string(++LastKey);
+      Json::Value Found =
+          Cluster.getJson(Cluster.apiAddress(0), "/v1/explain/menus/" + Key);
+      bool Owned = getString(Found, "owner") == Cluster.instances()[0].Name;
+      if (Owned && UsedSlots.insert(getUnsigned(Found, "slot")).second) {
+        return Key;
+      }
+    }
   };
   auto ExpectUnknown = [&](int Index, HeadFault Fault) {
     TimePoint SentAt = BootClock::now();
--- a/tests/net/MalformedResponseTest.cpp
+++ b/tests/net/MalformedResponseTest.cpp
@@ -1,6 +1,7 @@
 #include "core/EnumNames.h"
 #include "tests/net/FaultFixture.h"
 
+#include <absl/strings/str_cat.h>
 #include <criterion/criterion.h>
 
 using namespace hemlockspar;
@@ -157,8 +158,8 @@
         std::string Fault = findFault(Malformed, static_cast<Delivery>(How),
                                       static_cast<Attribution>(By));
         if (!Fault.empty()) {
-          Faults += Fault + " (" + DeliveryNames[How] + ", " +
-                    AttributionNames[By] + "): " + Malformed + "\n";
+          absl::StrAppend(&Faults, Fault, " (", DeliveryNames[How], ", ",
+                          AttributionNames[By], "): ", Malformed, "\n");
         }
       }
     }
