Review: the leaving of a backend is acknowledged and ignored after a clock step

A backend server joins while the time of day of its machine is 2.4 s ahead, crashes after the time of day has jumped back, and starts again under the same id. Its later report that it is draining gets a 200, and requests reach it until it exits, later than 2.5 s after the ack.

Cause: LocalServer tells the order of a server's processes by the time of day at their start, and ReportHandler acknowledges the reports that it ignores.

--- a/review/harness-3/Backend.cpp
+++ b/review/harness-3/Backend.cpp
@@ -36,7 +36,8 @@
                     const asio::yield_context &Yield) {
                return this->serve(Request, Watch, Yield);
              }),
-      Client(Io, {}), BornAt(unixMilliseconds()) {}
+      Client(Io, {}),
+      BornAt(unixMilliseconds() + this->Settings.ClockAhead.count()) {}
 
 absl::Status Backend::start() {
   absl::Status Listening = this->Server.listen(this->Settings.At);
@@ -169,6 +170,12 @@
   if (!Answer) {
     return false;
   }
+  bool First = Body["state"] == "draining" && !this->DrainingAcknowledged;
+  if (First) {
+    this->DrainingAcknowledged = true;
+    this->Book.note(
+        absl::StrCat("draining of ", this->Settings.Id, " is acknowledged"));
+  }
   this->Released = Json::Value(Json::arrayValue);
   return this->Settings.Keyed && this->applyGrants(*Answer, SentAt);
 }
--- a/review/harness-3/Backend.h
+++ b/review/harness-3/Backend.h
@@ -25,6 +25,10 @@
     std::uint32_t Slots = 6;
     std::chrono::milliseconds RunTime{100};
     bool Keyed = false;
+
+    /// How far the time of day of its machine is ahead of the true time when it
+    /// starts.
+    std::chrono::milliseconds ClockAhead{0};
   };
 
   Backend(boost::asio::io_context &Io, Config Settings, Ledger &Book);
@@ -39,6 +43,9 @@
   /// Reports that it is draining from now on.
   void startDraining() { this->Draining = true; }
 
+  /// The time of day at its start, by its machine's clock.
+  std::int64_t bornAt() const { return this->BornAt; }
+
 private:
   HttpResponse serve(HttpRequest &Request, CallerWatch &Watch,
                      const boost::asio::yield_context &Yield);
@@ -58,6 +65,7 @@
   std::int64_t BornAt;
   std::uint64_t Sequence = 0;
   bool Draining = false;
+  bool DrainingAcknowledged = false;
   std::uint32_t Running = 0;
   std::vector<HeldRange> Ranges;
   std::vector<std::uint64_t> SeenFence = std::vector<std::uint64_t>(KeyCount);
--- a/review/harness-3/Fleet.cpp
+++ b/review/harness-3/Fleet.cpp
@@ -88,9 +88,11 @@
 }
 
 Fleet::~Fleet() {
-  for (const auto &[Index, Pid] : this->Daemons) {
-    ::kill(Pid, SIGKILL);
-    waitpid(Pid, nullptr, 0);
+  for (const auto &Processes : {this->Daemons, this->BackendProcesses}) {
+    for (const auto &[Index, Pid] : Processes) {
+      ::kill(Pid, SIGKILL);
+      waitpid(Pid, nullptr, 0);
+    }
   }
   this->Io.stop();
   if (this->IoThread.joinable()) {
@@ -158,6 +160,11 @@
 }
 
 bool Fleet::startMachine(int Index) {
+  if (this->Chosen.SeparateBackends) {
+    this->startBackend(Index);
+    this->startDaemon(Index);
+    return true;
+  }
   Backend::Config Config;
   Config.Id = absl::StrCat("i-", Index);
   Config.Service = this->Chosen.Services[static_cast<std::size_t>(Index)];
@@ -176,18 +183,18 @@
   return Started;
 }
 
-void Fleet::startDaemon(int Index) {
-  this->writeSettings(Index);
-  const char *Root = std::getenv("HEMLOCKSPAR_BIN");
-  std::string Program =
-      std::string(Root ? Root : "target") + "/daemon/hemlockspard";
-  std::string Settings = absl::StrCat(this->Directory, "/d", Index, ".yaml");
-  std::string Log = absl::StrCat(this->Directory, "/d", Index, ".log");
-  // The deploy file starts the daemon without arguments; the platform names the
-  // settings in a variable.
-  std::string Variable = "HEMLOCKSPAR_SETTINGS=" + Settings;
-  std::vector<char *> Arguments = {Program.data(), nullptr};
-  std::vector<char *> Environment = {Variable.data(), nullptr};
+pid_t Fleet::spawn(std::vector<std::string> Words,
+                   std::vector<std::string> Variables, const std::string &Log) {
+  std::vector<char *> Arguments;
+  std::vector<char *> Environment;
+  for (std::string &Word : Words) {
+    Arguments.push_back(Word.data());
+  }
+  for (std::string &Variable : Variables) {
+    Environment.push_back(Variable.data());
+  }
+  Arguments.push_back(nullptr);
+  Environment.push_back(nullptr);
 
   posix_spawn_file_actions_t Actions;
   posix_spawn_file_actions_init(&Actions);
@@ -196,13 +203,46 @@
   posix_spawn_file_actions_adddup2(&Actions, 1, 2);
   posix_spawn_file_actions_addclosefrom_np(&Actions, 3);
   pid_t Pid = 0;
-  posix_spawn(&Pid, Program.c_str(), &Actions, nullptr, Arguments.data(),
+  posix_spawn(&Pid, Words.front().c_str(), &Actions, nullptr, Arguments.data(),
               Environment.data());
   posix_spawn_file_actions_destroy(&Actions);
-  this->Daemons[Index] = Pid;
+  return Pid;
+}
+
+void Fleet::startDaemon(int Index) {
+  this->writeSettings(Index);
+  // The deploy file starts the daemon without arguments; the platform names the
+  // settings in a variable.
+  const char *Root = std::getenv("HEMLOCKSPAR_BIN");
+  this->Daemons[Index] =
+      spawn({std::string(Root ? Root : "target") + "/daemon/hemlockspard"},
+            {absl::StrCat("HEMLOCKSPAR_SETTINGS=", this->Directory, "/d", Index,
+                          ".yaml")},
+            absl::StrCat(this->Directory, "/d", Index, ".log"));
   this->Book.note(absl::StrCat("daemon ", Index, " started"));
 }
 
+void Fleet::startBackend(int Index, std::chrono::milliseconds ClockAhead) {
+  Address At = {this->hostOf(Index), BackendPort};
+  Address Daemon = {this->hostOf(Index), ReportPort};
+  this->BackendProcesses[Index] = spawn(
+      {"target/review-3/backend_3", this->Chosen.Record,
+       absl::StrCat("i-", Index),
+       this->Chosen.Services[static_cast<std::size_t>(Index)], At.toText(),
+       Daemon.toText(), std::to_string(this->Chosen.RunTime.count()),
+       std::to_string(ClockAhead.count())},
+      {}, absl::StrCat(this->Directory, "/b", Index, ".log"));
+}
+
+void Fleet::signalBackend(int Index, int Signal) {
+  this->Book.note(absl::StrCat("backend ", Index, " gets signal ", Signal));
+  ::kill(this->BackendProcesses.at(Index), Signal);
+  if (Signal == SIGKILL) {
+    waitpid(this->BackendProcesses.at(Index), nullptr, 0);
+    this->BackendProcesses.erase(Index);
+  }
+}
+
 void Fleet::signalDaemon(int Index, int Signal) {
   this->Book.note(absl::StrCat("daemon ", Index, " gets signal ", Signal));
   ::kill(this->Daemons.at(Index), Signal);
@@ -226,18 +266,30 @@
 
 unsigned Fleet::sendKey(int Index, std::uint32_t Key) {
   HttpRequest Request(http::verb::get, absl::StrCat("/menus/", Key), 11);
+  Request.set("Shard-Key", std::to_string(Key));
+  return this->send(Index, std::move(Request));
+}
+
+unsigned Fleet::sendBooking(int Index) {
+  HttpRequest Request(http::verb::post, "/bookings/new", 11);
+  Request.body() = "a day package";
+  return this->send(Index, std::move(Request));
+}
+
+unsigned Fleet::send(int Index, HttpRequest Request) {
   std::string Id = absl::StrCat("q", ++this->LastRequest);
   Request.set(http::field::host, "spa.example");
   Request.set("Request-Id", Id);
   Request.set("Deadline-Ms", "3000");
-  Request.set("Shard-Key", std::to_string(Key));
+  this->Book.note(absl::StrCat("request ", Id, " ",
+                               std::string(Request.target()), " to machine ",
+                               Index));
   ExchangeResult Result = this->Client.exchange(
       {this->hostOf(Index), CallerPort}, Request, RequestTime);
   unsigned Status = Result.Outcome == ExchangeOutcome::Answered
                         ? Result.Response.result_int()
                         : 0;
-  this->Book.note(absl::StrCat("request ", Id, " key ", Key, " at machine ",
-                               Index, " answered ", Status));
+  this->Book.note(absl::StrCat("request ", Id, " answered ", Status));
   return Status;
 }
 
--- a/review/harness-3/Fleet.h
+++ b/review/harness-3/Fleet.h
@@ -43,6 +43,11 @@
     std::uint64_t FirstEra = 1;
     std::chrono::milliseconds Heartbeat{870};
     std::chrono::milliseconds RunTime{100};
+
+    /// Runs the backend servers as processes of their own; they write to
+    /// Record.
+    bool SeparateBackends = false;
+    std::string Record;
   };
 
   Fleet(Options Chosen, Ledger &Book);
@@ -58,6 +63,11 @@
   /// Starts the backend server and the daemon of machine \p Index.
   bool startMachine(int Index);
   void startDaemon(int Index);
+
+  /// Starts the backend server of machine \p Index as a process of its own,
+  /// whose clock is ahead by \p ClockAhead.
+  void startBackend(int Index, std::chrono::milliseconds ClockAhead = {});
+  void signalBackend(int Index, int Signal);
   void signalDaemon(int Index, int Signal);
 
   /// Writes the manifest \p Version to the store.
@@ -70,6 +80,9 @@
   /// returns its status, 0 if there was no answer.
   unsigned sendKey(int Index, std::uint32_t Key);
 
+  /// Sends a request that may run once to "bookings".
+  unsigned sendBooking(int Index);
+
   bool waitUntil(const std::function<bool()> &Condition,
                  std::chrono::milliseconds Limit);
 
@@ -80,6 +93,10 @@
 private:
   std::string hostOf(int Index) const;
   void writeSettings(int Index) const;
+  unsigned send(int Index, HttpRequest Request);
+  static pid_t spawn(std::vector<std::string> Words,
+                     std::vector<std::string> Variables,
+                     const std::string &Log);
   template <typename Result> Result onIoThread(std::function<Result()> Call);
 
   Options Chosen;
@@ -93,6 +110,7 @@
   std::unique_ptr<EraShift> Shift;
   std::map<int, std::unique_ptr<Backend>> Backends;
   std::map<int, pid_t> Daemons;
+  std::map<int, pid_t> BackendProcesses;
   std::thread IoThread;
   BlockingClient Client;
   int LastRequest = 0;
--- a/review/harness-3/Ledger.cpp
+++ b/review/harness-3/Ledger.cpp
@@ -19,8 +19,8 @@
 
 } // namespace
 
-Ledger::Ledger(const std::string &Path)
-    : File(Path), StartedAt(BootClock::now()) {}
+Ledger::Ledger(const std::string &Path, bool Append)
+    : File(Path, Append ? std::ios::app : std::ios::trunc) {}
 
 void Ledger::note(const std::string &Line) {
   std::lock_guard Lock(this->Mutex);
@@ -28,8 +28,8 @@
 }
 
 void Ledger::noteLocked(const std::string &Line) {
-  auto Elapsed = toMilliseconds(BootClock::now() - this->StartedAt);
-  this->File << Elapsed << " ms " << Line << std::endl;
+  auto Elapsed = toMilliseconds(BootClock::now().time_since_epoch());
+  this->File << absl::StrCat(Elapsed, " ms ", Line, "\n") << std::flush;
 }
 
 bool Ledger::checkFences(const std::string &Server, const HeldRange &Taken) {
--- a/review/harness-3/Ledger.h
+++ b/review/harness-3/Ledger.h
@@ -26,9 +26,10 @@
 /// backend servers hold. Thread-safe.
 class Ledger {
 public:
-  explicit Ledger(const std::string &Path);
+  /// With \p Append, lines of several processes go to one file.
+  explicit Ledger(const std::string &Path, bool Append = false);
 
-  /// Writes one line with the time since the start.
+  /// Writes one line with the time since the start of the machine.
   void note(const std::string &Line);
 
   /// \p Server holds \p Ranges from now on.
@@ -55,7 +56,6 @@
 
   mutable std::mutex Mutex;
   std::ofstream File;
-  TimePoint StartedAt;
   std::map<std::string, std::vector<HeldRange>> Held;
 
   /// For each key the highest fence number, and the server that had it.
