Review: a report with missing fields makes two backends hold the same keys

Another writer sends one status report without zone, version and cold_left, with an id of its own and the state draining. The daemon takes it for a new boot of its backend server that is leaving, and hands over all keys at once, though its backend server goes on holding them.

Cause: JsonReportCodec accepts the report, and KeyOwnershipManager takes another incarnation for the end of the former process.

--- a/review/harness-3/Fleet.cpp
+++ b/review/harness-3/Fleet.cpp
@@ -1,5 +1,7 @@
 #include "review/harness-3/Fleet.h"
 
+#include "core/Json.h"
+
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
 #include <csignal>
@@ -293,6 +295,27 @@
   return Status;
 }
 
+unsigned Fleet::report(int Index, const std::string &Id,
+                       const Json::Value &Body) {
+  HttpRequest Request(http::verb::put, "/api/instances/" + Id, 11);
+  Request.set(http::field::host, "daemon");
+  Request.set(http::field::content_type, "application/json");
+  Request.body() = writeJson(Body);
+  this->Book.note(absl::StrCat("another writer reports to machine ", Index,
+                               ": ", Request.body()));
+  ExchangeResult Result = this->Client.exchange(
+      {this->hostOf(Index), ReportPort}, Request, RequestTime);
+  unsigned Status = Result.Outcome == ExchangeOutcome::Answered
+                        ? Result.Response.result_int()
+                        : 0;
+  this->Book.note(absl::StrCat("the report is answered ", Status));
+  return Status;
+}
+
+Address Fleet::backendAddress(int Index) const {
+  return {this->hostOf(Index), BackendPort};
+}
+
 bool Fleet::waitUntil(const std::function<bool()> &Condition,
                       std::chrono::milliseconds Limit) {
   TimePoint End = BootClock::now() + Limit;
--- a/review/harness-3/Fleet.h
+++ b/review/harness-3/Fleet.h
@@ -83,6 +83,14 @@
   /// Sends a request that may run once to "bookings".
   unsigned sendBooking(int Index);
 
+  /// Sends \p Body as a status report under \p Id to the daemon of machine
+  /// \p Index, as another writer than the backend server may; returns the
+  /// status of the answer.
+  unsigned report(int Index, const std::string &Id, const Json::Value &Body);
+
+  /// Address of the backend server of machine \p Index.
+  Address backendAddress(int Index) const;
+
   bool waitUntil(const std::function<bool()> &Condition,
                  std::chrono::milliseconds Limit);
 
