Review: requests of an uncontrolled client take a daemon's slots for good

TRACE requests with a short body end in an exception after a slot of the backend server was taken, and the slot is not given back. Once all slots are taken no request for the service is served any more.

Cause: BackendDispatcher::serveAdmitted gives its slot back only when dispatch returns, and HttpClient::sendRequest throws.

--- a/review/harness-3/Fleet.cpp
+++ b/review/harness-3/Fleet.cpp
@@ -3,7 +3,9 @@
 #include "core/Json.h"
 
 #include <absl/strings/str_cat.h>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -11,6 +13,7 @@
 #include <fstream>
 #include <future>
 #include <spawn.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -278,14 +281,46 @@
   return this->send(Index, std::move(Request));
 }
 
+unsigned Fleet::sendRaw(int Index, const std::string &Method) {
+  std::string Id = absl::StrCat("q", ++this->LastRequest);
+  std::string Text = absl::StrCat(
+      Method,
+      " /bookings/new HTTP/1.1\r\nHost: spa.example\r\nRequest-Id: ", Id,
+      "\r\nDeadline-Ms: 300\r\nContent-Length: 13\r\n\r\na day package");
+  this->Book.note(absl::StrCat("request ", Id, " ", Method,
+                               " /bookings/new to machine ", Index));
+
+  asio::io_context Own;
+  asio::ip::tcp::socket Socket(Own);
+  boost::system::error_code Error;
+  Socket.connect({asio::ip::make_address(this->hostOf(Index)), CallerPort},
+                 Error);
+  timeval Limit{};
+  Limit.tv_sec = RequestTime.count();
+  ::setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &Limit,
+               sizeof(Limit));
+  if (!Error) {
+    asio::write(Socket, asio::buffer(Text), Error);
+  }
+  std::string Head(64, '\0');
+  ssize_t Length =
+      Error ? -1 : ::recv(Socket.native_handle(), Head.data(), Head.size(), 0);
+  unsigned Status = 0;
+  if (Length >= 12 && Head.starts_with("HTTP/1.1 ")) {
+    Status = static_cast<unsigned>(std::stoul(Head.substr(9, 3)));
+  }
+  this->Book.note(absl::StrCat("request ", Id, " answered ", Status));
+  return Status;
+}
+
 unsigned Fleet::send(int Index, HttpRequest Request) {
   std::string Id = absl::StrCat("q", ++this->LastRequest);
   Request.set(http::field::host, "spa.example");
   Request.set("Request-Id", Id);
   Request.set("Deadline-Ms", "3000");
-  this->Book.note(absl::StrCat("request ", Id, " ",
-                               std::string(Request.target()), " to machine ",
-                               Index));
+  this->Book.note(
+      absl::StrCat("request ", Id, " ", std::string(Request.method_string()),
+                   " ", std::string(Request.target()), " to machine ", Index));
   ExchangeResult Result = this->Client.exchange(
       {this->hostOf(Index), CallerPort}, Request, RequestTime);
   unsigned Status = Result.Outcome == ExchangeOutcome::Answered
--- a/review/harness-3/Fleet.h
+++ b/review/harness-3/Fleet.h
@@ -83,6 +83,10 @@
   /// Sends a request that may run once to "bookings".
   unsigned sendBooking(int Index);
 
+  /// Sends a request like a booking, with the method \p Method, on a plain
+  /// socket; returns its status, 0 if there was no answer.
+  unsigned sendRaw(int Index, const std::string &Method);
+
   /// Sends \p Body as a status report under \p Id to the daemon of machine
   /// \p Index, as another writer than the backend server may; returns the
   /// status of the answer.
