Review: a refusal behind the last chunk makes a booking run twice

A faulty backend runs a booking and answers 200, whole and in chunks, with the field Not-Executed behind the last chunk. The daemon takes it for a refusal, and the booking runs at a second backend.

Cause: the fields behind the last chunk are merged into the head, and a refusal is believed whatever the status and the stamp say.

--- a/review/harness-3/Backend.cpp
+++ b/review/harness-3/Backend.cpp
@@ -7,6 +7,9 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
 
 namespace hemlockspar::review3 {
 
@@ -37,10 +40,13 @@
                return this->serve(Request, Watch, Yield);
              }),
       Client(Io, {}),
-      BornAt(unixMilliseconds() + this->Settings.ClockAhead.count()) {}
+      BornAt(unixMilliseconds() + this->Settings.ClockAhead.count()),
+      Plain(Io) {}
 
 absl::Status Backend::start() {
-  absl::Status Listening = this->Server.listen(this->Settings.At);
+  absl::Status Listening = this->Settings.SpoilEvery > 0
+                               ? this->listenPlain()
+                               : this->Server.listen(this->Settings.At);
   if (Listening.ok()) {
     asio::spawn(
         this->Io,
@@ -50,6 +56,70 @@
   return Listening;
 }
 
+absl::Status Backend::listenPlain() {
+  boost::system::error_code Error;
+  auto Endpoint = this->Settings.At.toEndpoint(Error);
+  this->Plain.open(Endpoint.protocol(), Error);
+  this->Plain.set_option(asio::socket_base::reuse_address(true), Error);
+  this->Plain.bind(Endpoint, Error);
+  this->Plain.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error) {
+    return absl::UnavailableError(Error.message());
+  }
+  asio::spawn(
+      this->Io,
+      [this](const asio::yield_context &Yield) {
+        boost::system::error_code Failure;
+        while (!Failure) {
+          asio::ip::tcp::socket Socket(this->Io);
+          this->Plain.async_accept(Socket, Yield[Failure]);
+          asio::spawn(
+              this->Io,
+              [this, Accepted = std::move(Socket)](
+                  const asio::yield_context &Own) mutable {
+                this->servePlain(std::move(Accepted), Own);
+              },
+              asio::detached);
+        }
+      },
+      asio::detached);
+  return absl::OkStatus();
+}
+
+void Backend::servePlain(asio::ip::tcp::socket Socket,
+                         const asio::yield_context &Yield) {
+  boost::beast::flat_buffer Buffer;
+  boost::system::error_code Error;
+  while (!Error) {
+    HttpRequest Request;
+    http::async_read(Socket, Buffer, Request, Yield[Error]);
+    if (Error) {
+      return;
+    }
+    CallerWatch Watch;
+    HttpResponse Answer = this->serve(Request, Watch, Yield);
+    bool Spoil = Answer.result() == http::status::ok &&
+                 ++this->Answers % this->Settings.SpoilEvery == 0;
+    if (Spoil) {
+      asio::async_write(Socket, asio::buffer(this->spoiled(Answer)),
+                        Yield[Error]);
+    } else {
+      Answer.prepare_payload();
+      http::async_write(Socket, Answer, Yield[Error]);
+    }
+  }
+}
+
+std::string Backend::spoiled(const HttpResponse &Answer) {
+  std::string Id = headerValue(Answer, "Request-Id");
+  this->Book.note(absl::StrCat("spoils the answer to ", Id));
+  return absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ", Id,
+                      "\r\nServer-Stamp: ", headerValue(Answer, "Server-Stamp"),
+                      "\r\nTransfer-Encoding: chunked\r\n\r\n",
+                      absl::Hex(Answer.body().size()), "\r\n", Answer.body(),
+                      "\r\n0\r\nNot-Executed: 1\r\n\r\n");
+}
+
 std::uint32_t Backend::heldKeyCount() const {
   TimePoint Now = BootClock::now();
   std::uint32_t Count = 0;
--- a/review/harness-3/Backend.h
+++ b/review/harness-3/Backend.h
@@ -26,6 +26,9 @@
     std::chrono::milliseconds RunTime{100};
     bool Keyed = false;
 
+    /// Spoils one of so many of its answers; none if 0.
+    int SpoilEvery = 0;
+
     /// How far the time of day of its machine is ahead of the true time when it
     /// starts.
     std::chrono::milliseconds ClockAhead{0};
@@ -51,6 +54,12 @@
                      const boost::asio::yield_context &Yield);
   HttpResponse refuse(http::status Status, const std::string &RequestId) const;
   bool holds(std::uint32_t Key) const;
+
+  /// Serves requests on plain connections, so that answers can be spoiled.
+  absl::Status listenPlain();
+  void servePlain(boost::asio::ip::tcp::socket Socket,
+                  const boost::asio::yield_context &Yield);
+  std::string spoiled(const HttpResponse &Answer);
   void reportLoop(const boost::asio::yield_context &Yield);
   bool report(const boost::asio::yield_context &Yield);
   bool applyGrants(const Json::Value &Answer, TimePoint SentAt);
@@ -67,6 +76,8 @@
   bool Draining = false;
   bool DrainingAcknowledged = false;
   std::uint32_t Running = 0;
+  int Answers = 0;
+  boost::asio::ip::tcp::acceptor Plain;
   std::vector<HeldRange> Ranges;
   std::vector<std::uint64_t> SeenFence = std::vector<std::uint64_t>(KeyCount);
 
--- a/review/harness-3/Fleet.cpp
+++ b/review/harness-3/Fleet.cpp
@@ -179,6 +179,9 @@
   Config.Heartbeat = this->Chosen.Heartbeat;
   Config.RunTime = this->Chosen.RunTime;
   Config.Keyed = Config.Service == "menus";
+  if (this->Chosen.SpoilEvery.contains(Index)) {
+    Config.SpoilEvery = this->Chosen.SpoilEvery.at(Index);
+  }
   bool Started = this->onIoThread<bool>([&] {
     auto &Place = this->Backends[Index];
     Place = std::make_unique<Backend>(this->Io, Config, this->Book);
--- a/review/harness-3/Fleet.h
+++ b/review/harness-3/Fleet.h
@@ -44,6 +44,9 @@
     std::chrono::milliseconds Heartbeat{870};
     std::chrono::milliseconds RunTime{100};
 
+    /// Backend servers with these numbers spoil one of so many answers.
+    std::map<int, int> SpoilEvery;
+
     /// Runs the backend servers as processes of their own; they write to
     /// Record.
     bool SeparateBackends = false;
