--- a/review/harness-3/Fleet.cpp
+++ b/review/harness-3/Fleet.cpp
@@ -15,6 +15,7 @@
 #include <spawn.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
+#include <tuple>
 #include <unistd.h>
 
 extern char **environ;
@@ -56,6 +57,36 @@
       R"(,"warmup":"2s","health_path":"/healthz","cold_start":"3s"}})");
 }
 
+/// Returns a number N for which 127.N.0.1 and 127.N.1.1 are free, so that cases
+/// can run beside one another.
+int freeNetwork() {
+  constexpr int FirstNetwork = 110;
+  constexpr int NetworkCount = 140;
+  asio::io_context Io;
+  int Network = FirstNetwork;
+  for (int Tries = 0; Tries < NetworkCount; ++Tries) {
+    Network = FirstNetwork + (getpid() + Tries) % NetworkCount;
+    boost::system::error_code Error;
+    asio::ip::tcp::socket Store(Io);
+    asio::ip::tcp::socket Peer(Io);
+    for (auto [Socket, Host, Port] :
+         {std::tuple(&Store, absl::StrCat("127.", Network, ".0.1"), StorePort),
+          std::tuple(&Peer, absl::StrCat("127.", Network, ".1.1"), PeerPort)}) {
+      Socket->open(asio::ip::tcp::v4(), Error);
+      if (!Error) {
+        Socket->bind({asio::ip::make_address(Host), Port}, Error);
+      }
+      if (Error) {
+        break;
+      }
+    }
+    if (!Error) {
+      break;
+    }
+  }
+  return Network;
+}
+
 } // namespace
 
 EraShift::EraShift(asio::io_context &Io, Address Store, std::uint64_t Less)
@@ -84,7 +115,7 @@
 }
 
 Fleet::Fleet(Options Chosen, Ledger &Book)
-    : Chosen(std::move(Chosen)), Book(Book), Network(64 + getpid() % 180),
+    : Chosen(std::move(Chosen)), Book(Book), Network(freeNetwork()),
       KeepRunning(asio::make_work_guard(Io)),
       StandInStore(std::make_unique<FakePlatformStore>(Io)) {
   std::string Pattern =
