A part of a response to an upload is no complete response

A part of a refusal was taken for a refusal, after which a request may be sent to another backend server.

Cause: HttpClient reads the response while it writes the request. A response without a length ends with its connection, and only the read decided whether that end was orderly. The system reports a reset once; with both operations pending the write gets it, whose error was ignored, and the read sees an orderly end.

Why it works: a response that ended with its connection now counts only when the request was written without an error, so both directions of the connection tell what its end means. Whichever operation gets the reset, the exchange is ambiguous at once. The connection of a response that ended with it, or of a request whose write failed, is not used again.

FaultProxy gets a fault that breaks responses to uploads off, and can stand between daemons and backend servers in both kinds of meshes.

--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -43,6 +43,7 @@
 
   Event Done;
   bool Finished = false;
+  error_code Error;
 };
 
 Duration remaining(TimePoint Deadline) {
@@ -187,11 +188,11 @@
   }
 
   bool NothingSent = Result.Outcome == ExchangeOutcome::TooLate;
-  bool Reusable =
-      NothingSent ||
-      (Result.Outcome == ExchangeOutcome::Answered &&
-       Result.Response.keep_alive() && Conn->Attributable &&
-       Conn->SentIds.size() < MaxIdsPerConnection && Conn->Buffer.size() == 0);
+  bool Reusable = NothingSent || (Result.Outcome == ExchangeOutcome::Answered &&
+                                  Result.Response.keep_alive() &&
+                                  !Conn->EndedResponse && Conn->Attributable &&
+                                  Conn->SentIds.size() < MaxIdsPerConnection &&
+                                  Conn->Buffer.size() == 0);
   if (Reusable) {
     this->releaseConnection(Server, std::move(Conn));
   }
@@ -221,20 +222,33 @@
   // long body, and read no further.
   auto Sending = std::make_shared<SendState>(this->Io);
   http::async_write(Conn.Stream, Request,
-                    [Sending](const error_code &, std::size_t) {
+                    [Sending](const error_code &Error, std::size_t) {
+                      Sending->Error = Error;
                       Sending->Finished = true;
                       Sending->Done.set();
                     });
   ExchangeResult Result = this->readResponse(Conn, Request, Options, Yield);
-  if (!Sending->Finished) {
+  bool Unfinished = !Sending->Finished;
+  if (Unfinished) {
     Conn.Stream.close();
     Sending->Done.wait(Yield);
-    Result.Response.keep_alive(false);
+  }
+  if (Result.Outcome != ExchangeOutcome::Answered) {
     return Result;
   }
-  if (Result.Outcome == ExchangeOutcome::Answered) {
-    Conn.Stream.expires_never();
+
+  // The system reports a reset only once. If the write gets the error, the read
+  // sees an orderly end.
+  if (Conn.EndedResponse && Sending->Error) {
+    return failedExchange(ExchangeOutcome::Ambiguous,
+                          "receive: the connection ended before the request "
+                          "was sent: " +
+                              Sending->Error.message());
+  }
+  if (Unfinished || Sending->Error) {
+    Result.Response.keep_alive(false);
   }
+  Conn.Stream.expires_never();
   return Result;
 }
 
@@ -314,6 +328,7 @@
       continue;
     }
 
+    Conn.EndedResponse = Parser.need_eof();
     Conn.UsableUntil = this->usableUntil(Response);
     ExchangeResult Result;
     Result.Outcome = ExchangeOutcome::Answered;
--- a/net/HttpClient.h
+++ b/net/HttpClient.h
@@ -162,6 +162,10 @@
 
     /// Whether a later response could be told from copies of earlier ones.
     bool Attributable = true;
+
+    /// Whether the last response had no length, so that the end of the
+    /// connection was its end.
+    bool EndedResponse = false;
   };
   using ConnectionPtr = std::unique_ptr<Connection>;
 
--- a/stand_ins/FakeBackendServer.cpp
+++ b/stand_ins/FakeBackendServer.cpp
@@ -53,7 +53,10 @@
   while (!Error) {
     Json::Value Body;
     Body["service"] = this->Options.Service;
-    Body["address"] = this->Options.Listen.toText();
+    bool IsAdvertised = this->Options.Advertised.Port != 0;
+    Body["address"] =
+        (IsAdvertised ? this->Options.Advertised : this->Options.Listen)
+            .toText();
     Body["capacity"] = this->Options.Capacity;
     Body["checks_grants"] = this->Options.ChecksGrants;
     Body["max_run_ms"] = Json::UInt64(this->Options.MaxRunMs);
--- a/stand_ins/FakeBackendServer.h
+++ b/stand_ins/FakeBackendServer.h
@@ -19,6 +19,9 @@
   std::string Service;
   Address Listen;
 
+  /// Address in its announcements; Listen if it has no port.
+  Address Advertised;
+
   /// API address of the local daemon.
   Address Daemon;
   std::uint32_t Capacity = 6;
--- a/stand_ins/FakePlatformServer.cpp
+++ b/stand_ins/FakePlatformServer.cpp
@@ -344,7 +344,9 @@
   std::lock_guard Lock(this->Mutex);
   Json::Value Report;
   Report["service"] = this->Settings.Service;
-  Report["address"] = this->Settings.At.toText();
+  bool IsAdvertised = this->Settings.Advertised.Port != 0;
+  Report["address"] =
+      (IsAdvertised ? this->Settings.Advertised : this->Settings.At).toText();
   Report["zone"] = this->Settings.DataCenter;
   Report["version"] = "v1";
   Report["slots"] = this->Settings.Slots;
--- a/stand_ins/FakePlatformServer.h
+++ b/stand_ins/FakePlatformServer.h
@@ -56,6 +56,9 @@
     std::string DataCenter;
     Address At;
 
+    /// Address in its reports; At if it has no port.
+    Address Advertised;
+
     /// Address of the daemon to which it reports.
     Address Daemon;
     std::chrono::milliseconds Heartbeat{300};
--- a/stand_ins/FaultProxy.cpp
+++ b/stand_ins/FaultProxy.cpp
@@ -16,6 +16,12 @@
 constexpr std::size_t BufferBytes = 16384;
 constexpr std::size_t MaxConnections = 4096;
 
+/// A connection that has carried this much outbound carries an upload.
+constexpr std::uint64_t UploadBytes = 64 << 10;
+
+/// The client reads what it was sent before its connection is reset.
+constexpr auto ResetDelay = std::chrono::milliseconds(100);
+
 bool readFlag(const Json::Value &Fields, const char *Name) {
   return Fields[Name].isBool() && Fields[Name].asBool();
 }
@@ -100,6 +106,7 @@
   asio::steady_timer Timer(this->Io);
   error_code Error;
   std::uint64_t InboundBytes = 0;
+  std::uint64_t OutboundBytes = 0;
 
   while (!Error) {
     std::size_t Count =
@@ -120,6 +127,13 @@
     if (!Outbound) {
       malformHead(std::span(Buffer.data(), Count), Faults.InboundHead);
     }
+    if (Outbound && !Faults.BrokenOffResponse.empty()) {
+      OutboundBytes += Count;
+      if (OutboundBytes >= UploadBytes) {
+        this->breakOff(Connection->Client, Faults.BrokenOffResponse, Yield);
+        break;
+      }
+    }
     asio::async_write(Sink, asio::buffer(Buffer.data(), Count), Yield[Error]);
     if (!Outbound && Faults.MaxInboundBytes > 0) {
       InboundBytes += Count;
@@ -145,6 +159,15 @@
   Timer.async_wait(Yield[Ignored]);
 }
 
+void FaultProxy::breakOff(Socket &Client, const std::string &Response,
+                          const asio::yield_context &Yield) {
+  error_code Ignored;
+  asio::async_write(Client, asio::buffer(Response), Yield[Ignored]);
+  asio::steady_timer Timer(this->Io, ResetDelay);
+  Timer.async_wait(Yield[Ignored]);
+  Client.set_option(asio::socket_base::linger(true, 0), Ignored);
+}
+
 LinkFaults FaultProxy::faultsFor(const std::string &From,
                                  const std::string &To) const {
   LinkFaults Combined;
@@ -165,6 +188,9 @@
     if (Faults.InboundHead != HeadFault::None) {
       Combined.InboundHead = Faults.InboundHead;
     }
+    if (!Faults.BrokenOffResponse.empty()) {
+      Combined.BrokenOffResponse = Faults.BrokenOffResponse;
+    }
   }
   return Combined;
 }
@@ -186,6 +212,7 @@
   Faults.MaxInboundBytes = getUnsigned(*Fields, "max_back_bytes");
   Faults.InboundRate = getUnsigned(*Fields, "back_rate");
   Faults.InboundHead = headFaultOf(getString(*Fields, "back_head"));
+  Faults.BrokenOffResponse = getString(*Fields, "broken_off");
 
   this->applyToOpenConnections();
   Faults.StallOpen = false;
--- a/stand_ins/FaultProxy.h
+++ b/stand_ins/FaultProxy.h
@@ -37,13 +37,17 @@
 
   /// Malforms the heads of HTTP responses.
   HeadFault InboundHead = HeadFault::None;
+
+  /// Sent in response to an upload, which is then read no further, before the
+  /// connection is reset; empty for none.
+  std::string BrokenOffResponse;
 };
 
 /// TCP proxy that delays, discards or cuts traffic by its source and
 /// destination IP address. Faults are set over HTTP at run time: PUT /links
 /// {"from", "to", "cut_out", "cut_back", "reset", "stall_open", "delay_ms",
-/// "max_back_bytes", "back_rate", "back_head"}; an empty from or to matches
-/// every address.
+/// "max_back_bytes", "back_rate", "back_head", "broken_off"}; an empty from or
+/// to matches every address.
 class FaultProxy {
 public:
   explicit FaultProxy(boost::asio::io_context &Io);
@@ -64,6 +68,8 @@
              bool Outbound, const boost::asio::yield_context &Yield);
   void awaitLink(const std::string &From, std::size_t Bytes, std::uint64_t Rate,
                  const boost::asio::yield_context &Yield);
+  void breakOff(Socket &Client, const std::string &Response,
+                const boost::asio::yield_context &Yield);
   LinkFaults faultsFor(const std::string &From, const std::string &To) const;
   HttpResponse setFaults(const HttpRequest &Request);
   void applyToOpenConnections();
--- a/stand_ins/backend_stand_in.cpp
+++ b/stand_ins/backend_stand_in.cpp
@@ -9,6 +9,7 @@
 DEFINE_string(name, "backend", "server name in the records");
 DEFINE_string(service, "menus", "service of the server");
 DEFINE_string(listen, "127.0.0.1:7100", "address to listen on");
+DEFINE_string(advertise, "", "address to announce; that of --listen if empty");
 DEFINE_string(daemon, "", "API address of the local daemon");
 DEFINE_uint32(capacity, 6, "maximum number of concurrent requests");
 DEFINE_bool(checks_grants, true, "reject requests with stale grants");
@@ -46,9 +47,11 @@
 
   bool Valid =
       Address::fromText(FLAGS_listen, Options.Listen) &&
+      (FLAGS_advertise.empty() ||
+       Address::fromText(FLAGS_advertise, Options.Advertised)) &&
       (FLAGS_daemon.empty() || Address::fromText(FLAGS_daemon, Options.Daemon));
   if (!Valid) {
-    std::cerr << "--listen and --daemon must be host:port\n";
+    std::cerr << "--listen, --advertise and --daemon must be host:port\n";
     return 2;
   }
 
--- a/tests/integration/Mesh.cpp
+++ b/tests/integration/Mesh.cpp
@@ -32,9 +32,13 @@
 constexpr std::uint16_t ControlPort = 8082;
 constexpr std::uint16_t ApiPort = 8083;
 constexpr std::uint16_t BackendPort = 8090;
+constexpr std::uint16_t BackendProxyPort = 8091;
 constexpr std::uint16_t TablePort = 7000;
 constexpr std::uint16_t ProxyPort = 7200;
 
+/// Source address of connections that daemons open to backend servers.
+constexpr char DefaultHost[] = "127.0.0.1";
+
 std::string binary(const std::string &Name) {
   const char *Root = std::getenv("HEMLOCKSPAR_BIN");
   return std::string(Root ? Root : "build") + "/" + Name;
@@ -145,6 +149,10 @@
       Links.push_back(absl::StrCat(this->advertisedHost(Instance), ":", Port,
                                    "=", Instance.Host, ":", Port));
     }
+    if (this->Options.BackendsProxied) {
+      Links.push_back(absl::StrCat(this->advertisedBackend(Instance), "=",
+                                   Instance.Host, ":", BackendPort));
+    }
   }
 
   std::string Control = absl::StrCat("127.", this->Number, ".0.1:", ProxyPort);
@@ -161,15 +169,26 @@
 void Mesh::startBackend(const MeshInstance &Instance) {
   this->spawn(
       Instance.Name + ".backend",
-      {binary("stand_ins/backend_stand_in"), "--name", Instance.Name,
-       "--service", "menus", "--capacity",
-       std::to_string(this->Options.Capacity), "--listen",
-       absl::StrCat(Instance.Host, ":", BackendPort), "--daemon",
-       absl::StrCat(Instance.Host, ":", ApiPort), "--work_us",
-       std::to_string(this->Options.WorkUs), "--record",
+      {binary("stand_ins/backend_stand_in"),
+       "--name",
+       Instance.Name,
+       "--service",
+       "menus",
+       "--capacity",
+       std::to_string(this->Options.Capacity),
+       "--listen",
+       absl::StrCat(Instance.Host, ":", BackendPort),
+       "--advertise",
+       this->advertisedBackend(Instance),
+       "--daemon",
+       absl::StrCat(Instance.Host, ":", ApiPort),
+       "--work_us",
+       std::to_string(this->Options.WorkUs),
+       "--record",
        this->path(Instance.Name + ".runs"),
        absl::StrCat("--checks_grants=", Instance.ChecksGrants ? "1" : "0"),
-       "--max_run_ms", Instance.ChecksGrants ? "0" : "500"});
+       "--max_run_ms",
+       Instance.ChecksGrants ? "0" : "500"});
 }
 
 void Mesh::writeSettings(const MeshInstance &Instance) const {
@@ -187,6 +206,10 @@
        << "table:\n"
        << "  address: " << this->tableAddress().toText() << "\n";
 
+  if (this->Options.MaxBodyBytes > 0) {
+    File << "limits:\n  body_bytes: " << this->Options.MaxBodyBytes << "\n";
+  }
+
   // The proxy relays only the forward and control ports, so the advertised
   // caller and API addresses must not be used.
   if (this->Options.Proxied) {
@@ -256,6 +279,12 @@
                                : Host;
 }
 
+std::string Mesh::advertisedBackend(const MeshInstance &Instance) const {
+  return Address{Instance.Host,
+                 this->Options.BackendsProxied ? BackendProxyPort : BackendPort}
+      .toText();
+}
+
 std::string Mesh::path(const std::string &File) const {
   return this->Directory + "/" + File;
 }
@@ -319,6 +348,12 @@
             Body);
 }
 
+void Mesh::setBackendLink(int Index, const Json::Value &Faults) {
+  Json::Value OfBackend = Faults;
+  OfBackend["from"] = DefaultHost;
+  this->setLink(-1, Index, OfBackend);
+}
+
 void Mesh::setTableFaults(const Json::Value &Faults) {
   this->put(this->tableAddress(), "/faults", Faults);
 }
--- a/tests/integration/Mesh.h
+++ b/tests/integration/Mesh.h
@@ -34,9 +34,16 @@
 
   /// Whether peers connect to one another through the fault proxy.
   bool Proxied = false;
+
+  /// With Proxied: whether daemons also connect to their backend servers
+  /// through the fault proxy.
+  bool BackendsProxied = false;
   std::uint32_t Capacity = 6;
   std::uint64_t WorkUs = 1000;
 
+  /// The largest body that daemons accept; 0 for the default.
+  std::uint64_t MaxBodyBytes = 0;
+
   /// Maximum transactions per second of the table service; 0 for no limit.
   std::uint32_t TableWritesPerSecond = 0;
   std::string LogLevel = "info";
@@ -95,6 +102,9 @@
   /// Sets the proxy's faults for traffic from instance \p From to instance
   /// \p To; -1 selects every instance.
   void setLink(int From, int To, const Json::Value &Faults);
+
+  /// The same for traffic from daemon \p Index to its backend server.
+  void setBackendLink(int Index, const Json::Value &Faults);
   void setTableFaults(const Json::Value &Faults);
 
   /// Polls until \p Condition holds. Returns false when it still does not after
@@ -119,6 +129,7 @@
   void writeSettings(const MeshInstance &Instance) const;
   std::string path(const std::string &File) const;
   std::string advertisedHost(const MeshInstance &Instance) const;
+  std::string advertisedBackend(const MeshInstance &Instance) const;
   void startProxy();
   bool declareKeyspace();
   bool allInstancesAccept();
--- a/tests/integration/RequestTest.cpp
+++ b/tests/integration/RequestTest.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Json.h"
 #include "daemon/RequestHeaders.h"
+#include "daemon/RequestResult.h"
 #include "net/Address.h"
 #include "stand_ins/HeadFault.h"
 
@@ -47,6 +48,48 @@
   return Count;
 }
 
+/// Keys of instance 0, each in a slot of its own: the slot of a request whose
+/// outcome is unknown is not free at once.
+class KeySource {
+public:
+  explicit KeySource(Mesh &Cluster) : Cluster(Cluster) {}
+
+  std::string next() {
+    while (true) {
+      std::string Key = "k" + std::to_string(++this->LastKey);
+      Json::Value Found = this->Cluster.getJson(this->Cluster.apiAddress(0),
+                                                "/v1/explain/menus/" + Key);
+      bool Owned =
+          getString(Found, "owner") == this->Cluster.instances()[0].Name;
+      if (Owned && this->UsedSlots.insert(getUnsigned(Found, "slot")).second) {
+        return Key;
+      }
+    }
+  }
+
+private:
+  Mesh &Cluster;
+  int LastKey = 0;
+  std::set<std::uint64_t> UsedSlots;
+};
+
+/// Sends \p Body to daemon \p Index and checks that the outcome is reported as
+/// unknown, at once and with nothing of the response, which contains \p Part.
+void expectUnknown(Mesh &Cluster, KeySource &Keys, int Index,
+                   const std::string &Body, const std::string &Part,
+                   const char *Fault) {
+  std::string Key = Keys.next();
+  TimePoint SentAt = BootClock::now();
+  ExchangeResult Exchange = Cluster.send(Index, http::verb::post, Key,
+                                         {{headers::TimeoutMs, "8000"}}, Body);
+  cr_assert(BootClock::now() - SentAt < std::chrono::seconds(3), "%s", Fault);
+  cr_assert_eq(Exchange.Response.result_int(), 502, "%s: status %u", Fault,
+               Exchange.Response.result_int());
+  cr_assert(outcomeOf(Exchange) == "unknown");
+  cr_assert(reasonOf(Exchange) == "connection-broken");
+  cr_assert(Exchange.Response.body().find(Part) == std::string::npos);
+}
+
 } // namespace
 
 /// Response headers distinguish the outcomes answered, not run and unknown, and
@@ -223,33 +266,9 @@
   cr_assert(Cluster.start());
   Address Backend{Cluster.instances()[0].Host, 8090};
 
-  // The slot of a request whose outcome is unknown is not free at once, so
-  // each request has a slot of its own.
-  int LastKey = 0;
-  std::set<std::uint64_t> UsedSlots;
-  auto NextKey = [&] {
-    while (true) {
-      std::string Key = "k" + std::to_string(++LastKey);
-      Json::Value Found =
-          Cluster.getJson(Cluster.apiAddress(0), "/v1/explain/menus/" + Key);
-      bool Owned = getString(Found, "owner") == Cluster.instances()[0].Name;
-      if (Owned && UsedSlots.insert(getUnsigned(Found, "slot")).second) {
-        return Key;
-      }
-    }
-  };
+  KeySource Keys(Cluster);
   auto ExpectUnknown = [&](int Index, HeadFault Fault) {
-    TimePoint SentAt = BootClock::now();
-    ExchangeResult Exchange =
-        Cluster.send(Index, http::verb::post, NextKey(),
-                     {{headers::TimeoutMs, "8000"}}, "deposit");
-    cr_assert(BootClock::now() - SentAt < std::chrono::seconds(3), "%s",
-              nameOf(Fault));
-    cr_assert_eq(Exchange.Response.result_int(), 502, "%s: status %u",
-                 nameOf(Fault), Exchange.Response.result_int());
-    cr_assert(outcomeOf(Exchange) == "unknown");
-    cr_assert(reasonOf(Exchange) == "connection-broken");
-    cr_assert(Exchange.Response.body().find("deposit") == std::string::npos);
+    expectUnknown(Cluster, Keys, Index, "deposit", "deposit", nameOf(Fault));
   };
 
   for (HeadFault Fault : HeadFaults) {
@@ -266,7 +285,44 @@
     Cluster.setLink(1, 0, OfLink);
     ExpectUnknown(1, Fault);
     Cluster.setLink(1, 0, Json::Value(Json::objectValue));
-    ExchangeResult Served = Cluster.send(1, http::verb::post, NextKey());
+    ExchangeResult Served = Cluster.send(1, http::verb::post, Keys.next());
+    cr_assert_eq(Served.Response.result_int(), 200);
+  }
+}
+
+/// Backend servers and other daemons that reset the connection during an
+/// upload: the part of their response that had arrived was handed on, or was
+/// taken for a refusal.
+Test(Request, BrokenOffResponseHandedOn) {
+  // Exceeds the buffers of both sockets.
+  const std::string Upload(6 << 20, 'b');
+  const std::string Part = "broken off";
+  MeshOptions Options;
+  Options.Proxied = true;
+  Options.BackendsProxied = true;
+  Options.Slots = 256;
+  Options.MaxBodyBytes = 8 << 20;
+  Mesh Cluster(39, Options);
+  cr_assert(Cluster.start());
+  KeySource Keys(Cluster);
+
+  for (RequestOutcome Outcome :
+       {RequestOutcome::Answered, RequestOutcome::NotRun}) {
+    Json::Value Broken;
+    Broken["broken_off"] = "HTTP/1.1 200 OK\r\n" +
+                           std::string(headers::Outcome) + ": " +
+                           nameOf(Outcome) + "\r\n\r\n" + Part;
+    const Json::Value None(Json::objectValue);
+
+    Cluster.setBackendLink(0, Broken);
+    expectUnknown(Cluster, Keys, 0, Upload, Part, nameOf(Outcome));
+    expectUnknown(Cluster, Keys, 1, Upload, Part, nameOf(Outcome));
+    Cluster.setBackendLink(0, None);
+
+    Cluster.setLink(1, 0, Broken);
+    expectUnknown(Cluster, Keys, 1, Upload, Part, nameOf(Outcome));
+    Cluster.setLink(1, 0, None);
+    ExchangeResult Served = Cluster.send(1, http::verb::post, Keys.next());
     cr_assert_eq(Served.Response.result_int(), 200);
   }
 }
--- a/tests/mesh/PlatformMesh.cpp
+++ b/tests/mesh/PlatformMesh.cpp
@@ -23,8 +23,11 @@
 constexpr std::uint16_t ReportPort = 8082;
 constexpr std::uint16_t PeerPort = 8083;
 constexpr std::uint16_t ServerPort = 8090;
+constexpr std::uint16_t ServerProxyPort = 8091;
 constexpr std::uint16_t MetricsPort = 8084;
 constexpr std::uint16_t StorePort = 7000;
+/// Source address of connections that daemons open to backend servers.
+constexpr char DefaultHost[] = "127.0.0.1";
 constexpr char StartedLine[] = "daemon event=started";
 constexpr auto RequestTimeout = std::chrono::seconds(10);
 constexpr auto StoreOutage = std::chrono::milliseconds(500);
@@ -100,6 +103,10 @@
   return {absl::StrCat("127.", this->Number, ".3.", Index + 1), StorePort};
 }
 
+Address PlatformMesh::serverProxyAddress(int Index) const {
+  return {this->hostOf(Index), ServerProxyPort};
+}
+
 bool PlatformMesh::startProxy() {
   this->Proxy = std::make_unique<FaultProxy>(this->Io);
   bool Open = this->Proxy->listenForControl(this->proxyControlAddress()).ok();
@@ -112,7 +119,12 @@
             .ok() &&
         this->Proxy
             ->forward(this->storeProxyAddress(Index), this->storeAddress(Index))
-            .ok();
+            .ok() &&
+        (!this->ServersProxied ||
+         this->Proxy
+             ->forward(this->serverProxyAddress(Index),
+                       {this->hostOf(Index), ServerPort})
+             .ok());
   }
   return Open;
 }
@@ -122,9 +134,20 @@
 }
 
 void PlatformMesh::setLink(int From, int To, const LinkFaults &Faults) {
+  this->setFaults(this->hostOf(From),
+                  To < 0 ? this->storeAddress(From).Host : this->hostOf(To),
+                  Faults);
+}
+
+void PlatformMesh::setServerLink(int Index, const LinkFaults &Faults) {
+  this->setFaults(DefaultHost, this->hostOf(Index), Faults);
+}
+
+void PlatformMesh::setFaults(const std::string &From, const std::string &To,
+                             const LinkFaults &Faults) {
   Json::Value Fields;
-  Fields["from"] = this->hostOf(From);
-  Fields["to"] = To < 0 ? this->storeAddress(From).Host : this->hostOf(To);
+  Fields["from"] = From;
+  Fields["to"] = To;
   Fields["cut_out"] = Faults.DropOutbound;
   Fields["cut_back"] = Faults.DropInbound;
   Fields["reset"] = Faults.Reset;
@@ -133,6 +156,7 @@
   Fields["max_back_bytes"] = Json::UInt64(Faults.MaxInboundBytes);
   Fields["back_rate"] = Json::UInt64(Faults.InboundRate);
   Fields["back_head"] = nameOf(Faults.InboundHead);
+  Fields["broken_off"] = Faults.BrokenOffResponse;
   HttpRequest Request(http::verb::put, "/links", 11);
   Request.set(http::field::host, "proxy");
   Request.body() = writeJson(Fields);
@@ -283,6 +307,9 @@
     Terms.Service = this->Services[static_cast<std::size_t>(Index)];
     Terms.DataCenter = absl::StrCat("r", Index % 2, "-a");
     Terms.At = {Host, ServerPort};
+    if (this->ServersProxied) {
+      Terms.Advertised = this->serverProxyAddress(Index);
+    }
     Terms.Daemon = {Host, ReportPort};
     Terms.GrantsByCall = this->GrantsByCall;
     this->Servers.push_back(
--- a/tests/mesh/PlatformMesh.h
+++ b/tests/mesh/PlatformMesh.h
@@ -58,6 +58,10 @@
   /// on.
   void setMaxBodyBytes(std::uint64_t Bytes) { this->MaxBodyBytes = Bytes; }
 
+  /// Also places a proxy between each daemon and its backend server; to be
+  /// called before the start of a proxied mesh.
+  void setServersProxied() { this->ServersProxied = true; }
+
   /// Adds \p Count further routes to configurations declared from now on.
   void setFurtherRoutes(int Count) { this->FurtherRoutes = Count; }
 
@@ -135,6 +139,9 @@
   /// or to the store for -1.
   void setLink(int From, int To, const LinkFaults &Faults);
 
+  /// The same for connections that daemon \p Index opens to its backend server.
+  void setServerLink(int Index, const LinkFaults &Faults);
+
   /// Address to which callers on the machine of daemon \p Index send requests.
   Address callerAddress(int Index) const;
 
@@ -146,14 +153,18 @@
   Address storeAddress(int Index) const;
   Address peerProxyAddress(int Index) const;
   Address storeProxyAddress(int Index) const;
+  Address serverProxyAddress(int Index) const;
   Address proxyControlAddress() const;
   void writeSettings(int Index) const;
   std::string path(const std::string &File) const;
 
   bool startProxy();
+  void setFaults(const std::string &From, const std::string &To,
+                 const LinkFaults &Faults);
 
   int Number;
   bool Proxied;
+  bool ServersProxied = false;
   std::vector<std::string> Services;
   std::string Directory;
   boost::asio::io_context Io;
--- a/tests/net/RpcClientTest.cpp
+++ b/tests/net/RpcClientTest.cpp
@@ -80,6 +80,31 @@
   });
 }
 
+/// A response that broke off before its line ended was taken for a whole one.
+Test(RpcClient, BrokenOffResponseTakenForAWholeOne) {
+  const std::string Whole = resultLine("whole");
+  for (std::size_t Size = 0; Size < Whole.size(); ++Size) {
+    for (bool Reset : {false, true}) {
+      FaultFixture Fixture(
+          [&](tcp::socket &Socket, const asio::yield_context &Yield) {
+            std::string Call;
+            error_code Error;
+            asio::async_read_until(Socket, asio::dynamic_buffer(Call), '\n',
+                                   Yield[Error]);
+            send(Socket, Whole.substr(0, Size), Yield);
+            Socket.set_option(asio::socket_base::linger(Reset, 0));
+          });
+      RpcClient Client(Fixture.Io, "");
+      Fixture.run([&](const asio::yield_context &Yield) {
+        TimePoint SentAt = BootClock::now();
+        cr_assert_not(call(Fixture, Client, Yield).Succeeded,
+                      "accepted after %zu bytes", Size);
+        cr_assert(BootClock::now() - SentAt < std::chrono::seconds(2));
+      });
+    }
+  }
+}
+
 /// An error is a proper response: the connection stays in use.
 Test(RpcClient, ErrorClosesTheConnection) {
   FaultFixture Fixture(answersFirstWith(
