A malformed trailer is rejected on arrival

Callers got a response whose trailer had a line that begins with a blank: the line was joined to the value before it and handed on with the fields of the head. A malformed trailer that did not end was read until the deadline.

Cause: ResponseHeadCheck looked at heads only. Beast's parser joins such lines, and looks at the lines of a trailer only once all of it is there.

Why it works: the parser is given one element of a chunked body at a time, so the input of the trailer is known, complete or not, and gets the checks of a head. A trailer that exceeds the limit of heads, 8 KiB, is rejected too; its fields are added to the head, and the next daemon would have rejected that. Proper trailers are accepted wherever they are split (ProperTrailerInTwoPartsRejected).

--- a/net/BudgetedRead.h
+++ b/net/BudgetedRead.h
@@ -71,18 +71,8 @@
       Error = this->receive(Into, Yield);
     }
     if (!Error && !Into.is_done()) {
-      bool InHead = !Into.is_header_done();
-      Into.eager(!InHead);
-      auto Input = this->Buffer.cdata();
-      std::size_t Consumed = Into.put(Input, Error);
-      this->NeedsInput = Error == http::error::need_more;
-      Error = this->NeedsInput ? boost::system::error_code() : Error;
-      if (InHead && !Error) {
-        Error = this->HeadCheck.check(
-            Into, {static_cast<const char *>(Input.data()), Input.size()},
-            Consumed);
-      }
-      this->Buffer.consume(Consumed);
+      Error =
+          Into.is_header_done() ? this->parseBody(Into) : this->parsePart(Into);
     }
     this->Held.onProgress(BootClock::now());
     return this->Held.isDropped() ? BudgetError : Error;
@@ -92,6 +82,36 @@
   /// Number of bytes received at once.
   static constexpr std::size_t ReceiveBytes = 4096;
 
+  /// Parses what is in the buffer, a part of the body.
+  boost::system::error_code parseBody(ResponseParser &Into) {
+    boost::system::error_code Error;
+    do {
+      Error = this->parsePart(Into);
+    } while (!Error && !this->NeedsInput && !Into.is_done() &&
+             this->Buffer.size() > 0);
+    return Error;
+  }
+
+  /// Parses a part of the head, or a part of the body that is not more than the
+  /// head of a chunk, its data or the trailer.
+  boost::system::error_code parsePart(ResponseParser &Into) {
+    boost::system::error_code Error;
+    bool InHead = !Into.is_header_done();
+    auto Input = this->Buffer.cdata();
+    std::string_view Bytes(static_cast<const char *>(Input.data()),
+                           Input.size());
+    Into.eager(false);
+    std::size_t Consumed = Into.put(Input, Error);
+    this->NeedsInput = Error == http::error::need_more;
+    Error = this->NeedsInput ? boost::system::error_code() : Error;
+    if (!Error) {
+      Error = InHead ? this->HeadCheck.check(Into, Bytes, Consumed)
+                     : this->HeadCheck.checkTrailer(Into, Bytes, Consumed);
+    }
+    this->Buffer.consume(Consumed);
+    return Error;
+  }
+
   boost::system::error_code receive(ResponseParser &Into,
                                     const boost::asio::yield_context &Yield) {
     boost::system::error_code Error;
--- a/net/ResponseHeadCheck.cpp
+++ b/net/ResponseHeadCheck.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
+#include <cctype>
 #include <limits>
 
 namespace hemlockspar {
@@ -22,14 +23,33 @@
   return MinStatus <= Status && Status <= MaxStatus && Status != Switching;
 }
 
+/// The fields of a trailer are added to those of the head, to which Beast
+/// applies the same limit.
+constexpr std::size_t MaxTrailerBytes = 8 << 10;
+
+constexpr std::string_view LineBreak = "\r\n";
+
 /// A proper status line, for the fields of a response whose own was parsed.
 constexpr std::string_view StatusLine = "HTTP/1.1 200 OK\r\n";
 
-/// Whether a line of \p Head begins with a blank. Such a line continues the
+/// Whether a line of \p Lines begins with a blank. Such a line continues the
 /// field before it, a form that RFC 9112 forbids in responses (section 5.2), or
 /// its field's name is malformed.
-bool hasContinuedLine(std::string_view Head) {
-  return Head.find("\r\n ") != Head.npos || Head.find("\r\n\t") != Head.npos;
+bool hasContinuedLine(std::string_view Lines) {
+  return Lines.find("\r\n ") != Lines.npos ||
+         Lines.find("\r\n\t") != Lines.npos;
+}
+
+/// The lines that follow the last chunk in \p Input, with the line break before
+/// them; empty if \p Input does not begin with the last chunk.
+std::string_view trailerIn(std::string_view Input) {
+  // A chunk begins with the line break that ends the chunk before it.
+  std::size_t Size = Input.starts_with(LineBreak) ? LineBreak.size() : 0;
+  std::size_t SizeEnd = Input.find_first_not_of('0', Size);
+  std::size_t LineEnd = Input.find(LineBreak, Size);
+  bool IsLast = SizeEnd > Size && SizeEnd <= LineEnd && LineEnd != Input.npos &&
+                !std::isxdigit(static_cast<unsigned char>(Input[SizeEnd]));
+  return IsLast ? Input.substr(LineEnd) : std::string_view();
 }
 
 } // namespace
@@ -57,6 +77,26 @@
   return {};
 }
 
+error_code ResponseHeadCheck::checkTrailer(const ResponseParser &Parser,
+                                           std::string_view Input,
+                                           std::size_t Consumed) const {
+  bool IsComplete = Parser.is_done();
+  if (!Parser.chunked() || (!IsComplete && Consumed > 0)) {
+    return {};
+  }
+  std::string_view Trailer =
+      trailerIn(IsComplete ? Input.substr(0, Consumed) : Input);
+  if (hasContinuedLine(Trailer)) {
+    return http::error::bad_field;
+  }
+  if (Trailer.size() > MaxTrailerBytes) {
+    return http::error::header_limit;
+  }
+  return IsComplete || Trailer.empty()
+             ? error_code()
+             : this->checkIncomplete(Trailer.substr(LineBreak.size()));
+}
+
 error_code ResponseHeadCheck::checkIncomplete(std::string_view Unparsed) const {
   // Once a part of the head has ended within a line, the parser looks at no
   // other until the whole head is there.
--- a/tests/net/MalformedResponseTest.cpp
+++ b/tests/net/MalformedResponseTest.cpp
@@ -167,6 +167,35 @@
   cr_assert(Faults.empty(), "%s", Faults.c_str());
 }
 
+/// Checks that \p Proper, whose body is \p Body, is accepted wherever it is
+/// split on its way.
+void expectAcceptedInTwoParts(const std::string &Proper,
+                              const std::string &Body) {
+  std::size_t Split = 0;
+  FaultFixture *Server = nullptr;
+  FaultFixture Fixture(
+      [&](tcp::socket &Socket, const asio::yield_context &Yield) {
+        while (!readHead(Socket, Yield).empty()) {
+          send(Socket, Proper.substr(0, Split), Yield);
+          sleepFor(Server->Io, milliseconds(1), Yield);
+          send(Socket, Proper.substr(Split), Yield);
+        }
+      });
+  Server = &Fixture;
+  Fixture.run([&](const asio::yield_context &Yield) {
+    for (Split = 1; Split < Proper.size(); ++Split) {
+      HttpRequest Request(http::verb::get, "/", 11);
+      tcp::endpoint At = Fixture.Listener.local_endpoint();
+      ExchangeResult Result = Fixture.Client.exchange(
+          {"127.0.0.1", At.port()}, Request,
+          {.Deadline = BootClock::now() + ExchangeTimeout}, Yield);
+      cr_assert(Result.Outcome == ExchangeOutcome::Answered, "split at %zu: %s",
+                Split, Result.Error.c_str());
+      cr_assert_eq(Result.Response.body(), Body);
+    }
+  });
+}
+
 /// A response with the status line \p Status, and with \p Line among its
 /// fields, that is proper otherwise.
 std::string responseWith(const std::string &Status, const std::string &Line) {
@@ -185,6 +214,19 @@
   return Responses;
 }
 
+/// Responses in chunks with \p Lines in their trailers.
+std::vector<std::string>
+responsesWithTrailer(const std::vector<std::string> &Lines) {
+  std::vector<std::string> Responses;
+  for (const std::string &Line : Lines) {
+    Responses.push_back(
+        "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Stamp: s\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" +
+        Line);
+  }
+  return Responses;
+}
+
 } // namespace
 
 /// A backend server's response with the status 000 reached a caller.
@@ -235,6 +277,39 @@
                   "Content-Length: 4\r\n\r\nbody"});
 }
 
+/// The same in a trailer, whose fields are added to those of the head.
+Test(MalformedResponse, BlankOrControlCharacterInATrailerFieldName) {
+  std::vector<std::string> Lines = {"Field Name: x\r\n\r\n",
+                                    "Field\tName: x\r\n\r\n",
+                                    "Field : x\r\n\r\n",
+                                    "Field\rName: x\r\n\r\n",
+                                    "Field\nName: x\r\n\r\n",
+                                    "Field\x01Name: x\r\n\r\n",
+                                    "Field\x7fName: x\r\n\r\n",
+                                    "Field\x80Name: x\r\n\r\n",
+                                    ": x\r\n\r\n",
+                                    "Field\r\n\r\n",
+                                    " Field: x\r\n\r\n",
+                                    "\tField: x\r\n\r\n"};
+  Lines.push_back(std::string("Field\0Name: x\r\n\r\n", 17));
+  expectRejected(responsesWithTrailer(Lines));
+}
+
+/// A line of a trailer that begins with a blank was appended to the value of
+/// the field before it.
+Test(MalformedResponse, BlankBeforeATrailerFieldNameJoinsTwoFields) {
+  expectRejected(responsesWithTrailer(
+      {"Field: x\r\n Other: y\r\n\r\n", "Field: x\r\n\tOther: y\r\n\r\n",
+       "Field:\r\n x\r\n\r\n", "Field: x\r\n \r\n\r\n"}));
+}
+
+/// A malformed trailer that does not end.
+Test(MalformedResponse, MalformedTrailerThatStallsReadToTheDeadline) {
+  expectRejected(
+      responsesWithTrailer({"Field Name: x\r\nOth", "Field\x01Name",
+                            " Field: x\r\nOth", "Field: x\r\n Other: y"}));
+}
+
 /// A line that begins with a blank was appended to the value of the field
 /// before it, so its own field was lost.
 Test(MalformedResponse, BlankBeforeAFieldNameJoinsTwoFields) {
@@ -268,32 +343,18 @@
 
 /// A proper response is accepted wherever it is split on its way.
 Test(MalformedResponse, ProperResponseInTwoPartsRejected) {
-  const std::string Proper =
+  expectAcceptedInTwoParts(
       "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nEmpty:\r\nx!#$%&'*+-.^_`|~9:\tb  c "
-      "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
-  std::size_t Split = 0;
-  FaultFixture *Server = nullptr;
-  FaultFixture Fixture(
-      [&](tcp::socket &Socket, const asio::yield_context &Yield) {
-        while (!readHead(Socket, Yield).empty()) {
-          send(Socket, Proper.substr(0, Split), Yield);
-          sleepFor(Server->Io, milliseconds(1), Yield);
-          send(Socket, Proper.substr(Split), Yield);
-        }
-      });
-  Server = &Fixture;
-  Fixture.run([&](const asio::yield_context &Yield) {
-    for (Split = 1; Split < Proper.size(); ++Split) {
-      HttpRequest Request(http::verb::get, "/", 11);
-      tcp::endpoint At = Fixture.Listener.local_endpoint();
-      ExchangeResult Result = Fixture.Client.exchange(
-          {"127.0.0.1", At.port()}, Request,
-          {.Deadline = BootClock::now() + ExchangeTimeout}, Yield);
-      cr_assert(Result.Outcome == ExchangeOutcome::Answered, "split at %zu: %s",
-                Split, Result.Error.c_str());
-      cr_assert_eq(Result.Response.body(), "body");
-    }
-  });
+      "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+      "body");
+}
+
+/// The same with a trailer, behind a body that looks like one.
+Test(MalformedResponse, ProperTrailerInTwoPartsRejected) {
+  expectAcceptedInTwoParts(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=b\r\n0\r\n"
+      "6\r\n0\r\n a:\r\n000;a=b\r\nField: x\r\n0:\tb  c \r\n\r\n",
+      "00\r\n a:");
 }
 
 /// The coding of a body that is coded otherwise than in chunks was taken for
