A reset right behind the end of a connection is no orderly end

Callers got, as a complete response, the part that a server had sent before it closed its side of the connection and reset the connection at once, with an upload that fits into the buffers of the sockets.

Cause: the request counts as written once it is in the buffers, and the read reports the end of the connection, never a reset behind it or data that the server has not received.

Evidence: BrokenOffResponse.ResetBehindTheEndTakenForAnOrderlyEnd, on the code before: "accepted after 65536 bytes".

Why it works: when a response ends with its connection, the state of the connection is asked for. After an orderly end it is CLOSE_WAIT, and the end has acknowledged all that the server has received; a reset takes the connection out of that state, whichever operation got the error. Otherwise the exchange is ambiguous. The check that the request was written stays: what is not in the buffers yet is not seen there.

--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -322,13 +322,19 @@
                             "receive: " + Error.message());
     }
 
+    bool EndedWithConnection = Parser.need_eof();
+    if (EndedWithConnection && !isClosedInOrder(Conn.Stream.socket())) {
+      return failedExchange(ExchangeOutcome::Ambiguous,
+                            "receive: the connection was not closed in order");
+    }
+
     HttpResponse Response = Parser.release();
     bool IsInterim = Response.result_int() < MinFinalStatus;
     if (IsInterim || !belongsTo(Conn, Response, Options)) {
       continue;
     }
 
-    Conn.EndedResponse = Parser.need_eof();
+    Conn.EndedResponse = EndedWithConnection;
     Conn.UsableUntil = this->usableUntil(Response);
     ExchangeResult Result;
     Result.Outcome = ExchangeOutcome::Answered;
--- a/net/Peek.cpp
+++ b/net/Peek.cpp
@@ -1,6 +1,9 @@
 #include "net/Peek.h"
 
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 namespace hemlockspar {
 
@@ -27,4 +30,19 @@
   return ::poll(&Poll, 1, 0) == 1;
 }
 
+bool isClosedInOrder(asio::ip::tcp::socket &Socket) {
+  tcp_info Info{};
+  socklen_t Size = sizeof(Info);
+  int UnacknowledgedBytes = 0;
+  bool IsKnown =
+      ::getsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_INFO, &Info,
+                   &Size) == 0 &&
+      ::ioctl(Socket.native_handle(), SIOCOUTQ, &UnacknowledgedBytes) == 0;
+
+  // A reset takes the connection out of this state, also one that was reported
+  // to another operation or arrived after the end.
+  return IsKnown && Info.tcpi_state == TCP_CLOSE_WAIT &&
+         UnacknowledgedBytes == 0;
+}
+
 } // namespace hemlockspar
--- a/net/Peek.h
+++ b/net/Peek.h
@@ -14,4 +14,8 @@
 /// while received data is unread, which peek cannot tell.
 bool isClosedByPeer(boost::asio::ip::tcp::socket &Socket);
 
+/// Whether the peer has closed its side of the connection without a reset,
+/// after it had received all that was sent.
+bool isClosedInOrder(boost::asio::ip::tcp::socket &Socket);
+
 } // namespace hemlockspar
--- a/tests/net/BrokenOffResponseTest.cpp
+++ b/tests/net/BrokenOffResponseTest.cpp
@@ -217,6 +217,30 @@
                   SuccessHead, "HTTP/1.1 100 Continue\r\n\r\n", ""});
 }
 
+/// A server closed its side of the connection in order in the middle of a
+/// response and reset the connection at once. The upload fits into the buffers
+/// of the sockets.
+Test(BrokenOffResponse, ResetBehindTheEndTakenForAnOrderlyEnd) {
+  for (std::size_t BodyBytes : {1 << 16, 1 << 20}) {
+    FaultFixture Fixture(
+        [&](tcp::socket &Socket, const asio::yield_context &Yield) {
+          error_code Ignored;
+          readHead(Socket, Yield);
+          send(Socket, SuccessHead + "\r\nhalf", Yield);
+          Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+          Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+        });
+    Fixture.run([&](const asio::yield_context &Yield) {
+      TimePoint SentAt = BootClock::now();
+      ExchangeResult Result = Fixture.exchange("a", std::string(BodyBytes, 'b'),
+                                               ExchangeTimeout, Yield);
+      cr_assert(Result.Outcome == ExchangeOutcome::Ambiguous,
+                "accepted after %zu bytes", BodyBytes);
+      cr_assert(BootClock::now() - SentAt < MaxRejectTime);
+    });
+  }
+}
+
 /// A response without a length is complete when the server closes the
 /// connection after it has received the whole request.
 Test(BrokenOffResponse, ResponseWithoutLengthAfterAnUploadRejected) {
