--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -237,8 +237,8 @@
     return Result;
   }
 
-  // The system reports a reset only once. If the write gets the error, the read
-  // sees an orderly end.
+  // The server cannot have received the whole request, whatever the end of the
+  // connection looked like to the read.
   if (Conn.EndedResponse && Sending->Error) {
     return failedExchange(ExchangeOutcome::Ambiguous,
                           "receive: the connection ended before the request "
