Tests: the stand-in of a backend server accepts large uploads

The log of the daemon has reason=backend-refused: the stand-in rejected the announced 6 MB with a complete 413, marked not-run, before the proxy had carried enough of the upload to break it off. The stand-in now accepts 64 MB, as FakePlatformServer does, so the proxy alone answers. The test also checks now that an upload is served once the fault is gone, and prints the reason when it fails.

--- a/stand_ins/FakeBackendServer.cpp
+++ b/stand_ins/FakeBackendServer.cpp
@@ -19,12 +19,19 @@
 /// Request header with the service time, in microseconds.
 constexpr char ServiceTimeHeader[] = "Work-Us";
 
+/// Daemons may be set to forward bodies of up to this size.
+HttpLimits serverLimits() {
+  HttpLimits Limits;
+  Limits.MaxBodyBytes = 64 << 20;
+  return Limits;
+}
+
 } // namespace
 
 FakeBackendServer::FakeBackendServer(asio::io_context &Io,
                                      BackendOptions Chosen)
     : Io(Io), Options(std::move(Chosen)),
-      Server(Io, HttpLimits(),
+      Server(Io, serverLimits(),
              [this](HttpRequest &Request, CallerWatch &Watch,
                     const asio::yield_context &Yield) {
                return this->onRequest(Request, Watch, Yield);
--- a/tests/integration/RequestTest.cpp
+++ b/tests/integration/RequestTest.cpp
@@ -83,8 +83,8 @@
   ExchangeResult Exchange = Cluster.send(Index, http::verb::post, Key,
                                          {{headers::TimeoutMs, "8000"}}, Body);
   cr_assert(BootClock::now() - SentAt < std::chrono::seconds(3), "%s", Fault);
-  cr_assert_eq(Exchange.Response.result_int(), 502, "%s: status %u", Fault,
-               Exchange.Response.result_int());
+  cr_assert_eq(Exchange.Response.result_int(), 502, "%s: status %u, %s", Fault,
+               Exchange.Response.result_int(), reasonOf(Exchange).c_str());
   cr_assert(outcomeOf(Exchange) == "unknown");
   cr_assert(reasonOf(Exchange) == "connection-broken");
   cr_assert(Exchange.Response.body().find(Part) == std::string::npos);
@@ -322,7 +322,8 @@
     Cluster.setLink(1, 0, Broken);
     expectUnknown(Cluster, Keys, 1, Upload, Part, nameOf(Outcome));
     Cluster.setLink(1, 0, None);
-    ExchangeResult Served = Cluster.send(1, http::verb::post, Keys.next());
+    ExchangeResult Served =
+        Cluster.send(1, http::verb::post, Keys.next(), {}, Upload);
     cr_assert_eq(Served.Response.result_int(), 200);
   }
 }
