--- a/tests/mesh/BrokenOffResponseMeshTest.cpp
+++ b/tests/mesh/BrokenOffResponseMeshTest.cpp
@@ -97,8 +97,8 @@
 } // namespace
 
 /// A backend server that reset the connection during an upload: the part of its
-/// response reached the caller, and a part of a refusal let the request run
-/// elsewhere.
+/// response reached the caller. A part of a refusal must not let the request
+/// run elsewhere.
 Test(BrokenOffResponseMesh, PartOfABackendServersResponseHandedOn) {
   PlatformMesh Mesh(151, FourDaemons, true);
   Mesh.setServersProxied();
